--- /dev/null
+++ b/src/base/text.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace radishstep
+{
+
+/// Returns true when `bytes` is well-formed UTF-8.
+bool is_utf8(std::string_view bytes);
+
+/// Returns the Base64 form of `bytes`.
+std::string to_base64(std::string_view bytes);
+
+/// Returns the bytes of a Base64 text, or nothing when it is malformed.
+std::optional<std::string> from_base64(std::string_view text);
+
+/// Returns `text` as a decimal number, or nothing when it is not wholly one.
+std::optional<std::int64_t> to_integer(std::string_view text);
+
+} // namespace radishstep
--- /dev/null
+++ b/src/broker/broker_settings.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "base/error.h"
+#include "base/runtime_clock.h"
+
+namespace radishstep
+{
+
+/// The settings of a broker process.
+struct broker_settings {
+    std::string host;
+    std::string zone;
+    std::string region;
+    std::string site;
+    std::string address;
+    int link_port = 0;
+    int gossip_port = 0;
+    std::string admin;
+    std::string entry_admin;
+    std::string key_value;
+    std::string host_list;
+    std::string log_level;
+    milliseconds probe_time{500};
+    bool check_only = false;
+
+    bool operator==(const broker_settings&) const = default;
+};
+
+/// Returns the settings on the command line and in the environment, or what is wrong with them.
+result<broker_settings> read_broker_settings(int argc, const char* const* argv);
+
+} // namespace radishstep
--- /dev/null
+++ b/src/broker/cells_duty.cpp
@@ -0,0 +1,558 @@
+#include "broker/cells_duty.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include "base/event_log.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "http/server.h"
+#include "membership/member_wire.h"
+#include "routing/permit_wire.h"
+#include "wire/frame_link.h"
+#include "wire/generated/radishstep_types.h"
+
+namespace radishstep
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr milliseconds tick_time{10};
+constexpr milliseconds frozen_time{1'000};
+constexpr milliseconds probe_silence{1'000};
+constexpr milliseconds cancel_silence{1'000};
+constexpr milliseconds leave_time{1'500};
+constexpr milliseconds fetch_time{2'000};
+constexpr milliseconds status_time{200};
+
+/// So many hosts of a region keep a watch on the configuration; the others hear of it by gossip.
+constexpr std::size_t watchers_per_region = 3;
+
+asio::awaitable<void> pause_for(asio::io_context& context, milliseconds span)
+{
+    timer pause{context};
+    pause.expires_after(span);
+    boost::system::error_code ignored;
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+http::request cancel_order(const std::string& job)
+{
+    return http::json_request("POST", "/v1/cancel", nlohmann::json{{"job", job}}.dump());
+}
+
+std::vector<std::string> job_list(const nlohmann::json& json)
+{
+    std::vector<std::string> jobs;
+    for (const auto& job : json.value("jobs", nlohmann::json::array())) {
+        if (job.is_string())
+            jobs.push_back(job.get<std::string>());
+    }
+    return jobs;
+}
+
+endpoint_report read_report(const std::string& endpoint, const result<http::response>& answer)
+{
+    endpoint_report report;
+    report.endpoint = endpoint;
+    const auto json = nlohmann::json::parse(answer ? answer->body : "", nullptr, false);
+    report.reachable = json.is_object();
+    if (!report.reachable)
+        return report;
+    report.leaving = json.value("leaving", false);
+    report.incarnation = json.value("incarnation", "");
+    report.jobs = job_list(json);
+    return report;
+}
+
+} // namespace
+
+cells_duty::cells_duty(const broker_settings& settings, cells_ring& inbox, membership_ring& membership,
+                       std::function<void(bool)> set_watching)
+    : settings(settings), inbox(inbox), membership(membership), set_watching(std::move(set_watching)), context(1),
+      listener(this->context), calls(this->context.get_executor())
+{
+    this->inbox.on_wake([this] { asio::post(this->context, [this] { this->drain_inbox(); }); });
+}
+
+cells_duty::~cells_duty() = default;
+
+result<void> cells_duty::open()
+{
+    const std::string address = this->settings.address + ":" + std::to_string(this->settings.link_port);
+    auto opened = http::listen(this->context.get_executor(), address);
+    if (!opened)
+        return tl::unexpected{opened.error()};
+    this->listener = std::move(*opened);
+    return {};
+}
+
+void cells_duty::run()
+{
+    const auto work = asio::make_work_guard(this->context);
+    asio::co_spawn(this->context, this->accept_loop(), asio::detached);
+    asio::co_spawn(this->context, this->tick_loop(), asio::detached);
+    asio::co_spawn(this->context, this->probe_loop(), asio::detached);
+    this->context.run();
+}
+
+void cells_duty::stop()
+{
+    this->context.stop();
+}
+
+void cells_duty::drain()
+{
+    this->inbox.push(to_cells::drain{});
+}
+
+std::string cells_duty::status() const
+{
+    const std::scoped_lock lock{this->status_mutex};
+    return this->status_text;
+}
+
+asio::awaitable<void> cells_duty::accept_loop()
+{
+    while (true) {
+        boost::system::error_code failure;
+        auto socket = co_await this->listener.async_accept(asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure)
+            this->add_peer(std::move(socket));
+    }
+}
+
+void cells_duty::add_peer(asio::ip::tcp::socket socket)
+{
+    const std::uint64_t id = ++this->last_peer;
+    peer& added = this->peers[id];
+    added.link = std::make_shared<wire::frame_link>(std::move(socket));
+    added.link->on_message([this, id](const wire::Message& message) { this->on_message(id, message); });
+    added.link->on_closed([this, id] { asio::post(this->context, [this, id] { this->remove_peer(id); }); });
+    added.link->start();
+}
+
+void cells_duty::remove_peer(std::uint64_t id)
+{
+    const auto found = this->peers.find(id);
+    if (found == this->peers.end())
+        return;
+    const std::string holder = found->second.holder;
+    this->peers.erase(found);
+    const auto current = this->peer_of_holder.find(holder);
+    if (holder.empty() || current == this->peer_of_holder.end() || current->second != id)
+        return;
+    this->peer_of_holder.erase(current);
+    process_events().record("holder_lost", "", holder);
+    for (auto& [name, owned] : this->cells)
+        owned.holder_lost(holder, runtime_clock::now());
+}
+
+void cells_duty::on_message(std::uint64_t id, const wire::Message& message)
+{
+    peer& sender = this->peers.at(id);
+    const time_point now = runtime_clock::now();
+    if (message.__isset.hello) {
+        sender.host = message.hello.host;
+        if (message.hello.process != "entry")
+            return;
+        sender.holder = message.hello.host + "/" + std::to_string(message.hello.incarnation);
+        this->peer_of_holder[sender.holder] = id;
+        wire::Message view;
+        view.__set_view(wire::to_wire(this->current_view()));
+        sender.link->send(view);
+        this->push_config(sender);
+    } else if (message.__isset.permit_request) {
+        this->on_permit_request(sender, message);
+    } else if (message.__isset.reassert) {
+        this->on_reassert(sender, message);
+    } else if (message.__isset.release) {
+        if (cell* const owned = this->find_cell(message.release.cell))
+            this->carry_out(owned->name(), owned->release(wire::from_wire(message.release, sender.holder), now));
+    } else if (message.__isset.prefill_done) {
+        const wire::PrefillDone& done = message.prefill_done;
+        const auto time = std::chrono::microseconds{done.prefill_us};
+        if (cell* const owned = this->find_cell(done.cell))
+            this->carry_out(owned->name(), owned->prefill_done({done.request, done.attempt}, time, now));
+    } else if (message.__isset.pace) {
+        if (cell* const owned = this->find_cell(message.pace.cell))
+            owned->observe_pace(message.pace.endpoint, std::chrono::microseconds{message.pace.token_us}, now);
+    } else if (message.__isset.peer_refused) {
+        this->membership.push(to_membership::peer_refused{message.peer_refused.host, message.peer_refused.incarnation});
+    } else if (message.__isset.config_fetch) {
+        if (message.config_fetch.above < this->config_version)
+            this->push_config(sender);
+    }
+}
+
+void cells_duty::on_permit_request(const peer& sender, const wire::Message& message)
+{
+    const permit_ask wish = wire::from_wire(message.permit_request, sender.holder);
+    cell* const owned = this->find_cell(message.permit_request.cell);
+    if (owned == nullptr) {
+        // The sender's view or ours is old; the sender keeps the request and asks the next owner.
+        wire::Message refusal;
+        refusal.__set_refusal(wire::to_wire(permit_refusal{wish.key, sender.holder, error_kind::unavailable, {}}));
+        sender.link->send(refusal);
+        return;
+    }
+    count("radishstep_permit_requests_total", {{"cell", owned->name()}});
+    this->carry_out(owned->name(), owned->ask(wish, runtime_clock::now()));
+}
+
+void cells_duty::on_reassert(const peer& sender, const wire::Message& message)
+{
+    cell* const owned = this->find_cell(message.reassert.cell);
+    if (owned == nullptr)
+        return;
+    this->hosts_heard.insert(sender.host);
+    const auto permits = wire::permits_from_wire(message.reassert, sender.holder);
+    process_events().record("reasserted", "", sender.holder + " permits=" + std::to_string(permits.size()));
+    const auto strikes = wire::strikes_from_wire(message.reassert);
+    this->carry_out(owned->name(), owned->reassert(sender.holder, permits, strikes, runtime_clock::now()));
+}
+
+void cells_duty::carry_out(const std::string& cell_name, const cell_decisions& decisions)
+{
+    for (const cell_decision& decision : decisions) {
+        wire::Message message;
+        if (const auto* grant = std::get_if<permit_grant>(&decision)) {
+            process_events().record("granted", grant->key.request, grant->prefill + " " + grant->decode);
+            count("radishstep_permits_granted_total", {{"cell", cell_name}});
+            message.__set_grant(wire::to_wire(*grant));
+            this->send_to_holder(grant->holder, message);
+        } else if (const auto* refusal = std::get_if<permit_refusal>(&decision)) {
+            process_events().record("permit_refused", refusal->key.request, std::string{to_string(refusal->kind)});
+            count("radishstep_permits_refused_total",
+                  {{"cell", cell_name}, {"kind", std::string{to_string(refusal->kind)}}});
+            message.__set_refusal(wire::to_wire(*refusal));
+            this->send_to_holder(refusal->holder, message);
+        } else if (const auto* cancel = std::get_if<job_cancel>(&decision)) {
+            process_events().record("job_cancelled", cancel->job.substr(0, cancel->job.rfind('.')), cancel->endpoint);
+            count("radishstep_jobs_cancelled_total", {{"cell", cell_name}});
+            for (const endpoint_config& endpoint : this->cells.at(cell_name).endpoint_configs()) {
+                if (endpoint.name == cancel->endpoint)
+                    asio::co_spawn(this->context, this->cancel_job(endpoint.address, cancel->job), asio::detached);
+            }
+        }
+    }
+}
+
+void cells_duty::send_to_holder(const std::string& holder, const wire::Message& message)
+{
+    const auto found = this->peer_of_holder.find(holder);
+    if (found != this->peer_of_holder.end())
+        this->peers.at(found->second).link->send(message);
+}
+
+asio::awaitable<void> cells_duty::cancel_job(std::string address, std::string job)
+{
+    http::request order = cancel_order(job);
+    http::call_options options;
+    options.silence_time = cancel_silence;
+    co_await this->calls.call(std::move(address), std::move(order), options);
+}
+
+asio::awaitable<void> cells_duty::tick_loop()
+{
+    time_point next_status;
+    while (true) {
+        const time_point now = runtime_clock::now();
+        const bool was_frozen = this->last_tick != time_point{} && now - this->last_tick > frozen_time;
+        this->last_tick = now;
+        for (auto& [name, owned] : this->cells) {
+            if (was_frozen)
+                this->start_rebuild(owned, "frozen");
+            this->carry_out(name, owned.tick(now));
+        }
+        if (now >= next_status) {
+            next_status = now + status_time;
+            this->refresh_status();
+        }
+        co_await pause_for(this->context, tick_time);
+    }
+}
+
+asio::awaitable<void> cells_duty::probe_loop()
+{
+    while (true) {
+        for (const auto& [name, owned] : this->cells) {
+            for (const endpoint_config& endpoint : owned.endpoint_configs())
+                asio::co_spawn(this->context, this->probe(name, endpoint), asio::detached);
+        }
+        co_await pause_for(this->context, this->settings.probe_time);
+    }
+}
+
+asio::awaitable<void> cells_duty::probe(std::string cell_name, endpoint_config endpoint)
+{
+    http::call_options options;
+    options.connect_time = probe_silence;
+    options.silence_time = probe_silence;
+    http::request question = http::get_request("/v1/status");
+    const auto answer = co_await this->calls.call(endpoint.address, std::move(question), options);
+    cell* const owned = this->find_cell(cell_name);
+    if (owned == nullptr)
+        co_return;
+    this->carry_out(cell_name, owned->report(read_report(endpoint.name, answer), runtime_clock::now()));
+}
+
+void cells_duty::drain_inbox()
+{
+    while (const auto message = this->inbox.pop())
+        std::visit([this](const auto& content) { this->handle(content); }, *message);
+}
+
+void cells_duty::handle(const to_cells::members& message)
+{
+    this->members = message.all;
+    this->update_ownership();
+    this->update_watching();
+    this->push_view();
+}
+
+void cells_duty::handle(const to_cells::host_list& message)
+{
+    this->listed = message.hosts;
+    const auto self_is_leaving = std::any_of(this->listed.begin(), this->listed.end(), [this](const auto& host) {
+        return host.host == this->settings.host && host.is_leaving;
+    });
+    if (self_is_leaving)
+        this->membership.push(to_membership::leave{});
+    const fleet_view view = this->current_view();
+    for (auto& [name, owned] : this->cells)
+        owned.set_leaving(view.leaving);
+    this->push_view();
+}
+
+void cells_duty::handle(const to_cells::config& message)
+{
+    this->take_document(message.document);
+}
+
+void cells_duty::handle(const to_cells::newer_config& message)
+{
+    if (message.version <= this->config_version || this->fetching)
+        return;
+    this->fetching = true;
+    asio::co_spawn(this->context, this->fetch_config(message.link_address), asio::detached);
+}
+
+void cells_duty::handle(const to_cells::drain& /*message*/)
+{
+    if (std::exchange(this->leaving, true))
+        return;
+    asio::co_spawn(this->context, this->leave_and_stop(), asio::detached);
+}
+
+asio::awaitable<void> cells_duty::fetch_config(std::string link_address)
+{
+    asio::ip::tcp::socket socket{this->context};
+    const auto endpoint = http::parse_address(link_address);
+    boost::system::error_code failure = asio::error::invalid_argument;
+    if (endpoint)
+        co_await socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        this->fetching = false;
+        co_return;
+    }
+    const std::int64_t had = this->config_version;
+    auto link = std::make_shared<wire::frame_link>(std::move(socket));
+    link->on_message([this](const wire::Message& message) {
+        if (message.__isset.config_push)
+            this->take_document(message.config_push.document);
+    });
+    link->start();
+    wire::Message question;
+    wire::ConfigFetch fetch;
+    fetch.above = had;
+    question.__set_config_fetch(fetch);
+    link->send(question);
+    const time_point give_up_at = runtime_clock::now() + fetch_time;
+    while (link->is_open() && this->config_version == had && runtime_clock::now() < give_up_at)
+        co_await pause_for(this->context, tick_time);
+    link->close();
+    this->fetching = false;
+}
+
+void cells_duty::take_document(const std::string& text)
+{
+    const auto parsed = parse_config_document(text);
+    if (!parsed) {
+        log_problem("config_unusable", {{"cause", describe(parsed.error())}});
+        return;
+    }
+    if (parsed->version <= this->config_version)
+        return;
+    this->config_version = parsed->version;
+    this->document_text = text;
+    this->membership.push(to_membership::config_version{parsed->version});
+    const auto next = config_of_site(*parsed, this->settings.site);
+    if (next) {
+        this->site = *next;
+        process_events().record("config_in_force", "", "version=" + std::to_string(parsed->version));
+        log_state("config_in_force", {{"version", std::to_string(parsed->version)}});
+        set_gauge("radishstep_config_version", static_cast<double>(parsed->version));
+    } else {
+        log_problem("config_unusable", {{"cause", describe(next.error())}});
+    }
+    for (const auto& [id, to] : this->peers) {
+        if (!to.holder.empty())
+            this->push_config(to);
+    }
+    this->update_ownership();
+}
+
+void cells_duty::push_config(const peer& to) const
+{
+    if (this->config_version == 0)
+        return;
+    wire::ConfigPush push;
+    push.version = this->config_version;
+    push.document = this->document_text;
+    wire::Message message;
+    message.__set_config_push(push);
+    to.link->send(message);
+}
+
+void cells_duty::push_view()
+{
+    wire::Message message;
+    message.__set_view(wire::to_wire(this->current_view()));
+    for (const auto& [id, to] : this->peers) {
+        if (!to.holder.empty())
+            to.link->send(message);
+    }
+}
+
+void cells_duty::update_ownership()
+{
+    std::set<std::string> owned;
+    for (const pool_config& pool : this->site.pools) {
+        if (owner_of_cell(pool.name, this->members, this->settings.region) != this->settings.host)
+            continue;
+        owned.insert(pool.name);
+        const auto [found, is_new] = this->cells.try_emplace(pool.name, pool.name);
+        found->second.configure(pool, this->site.clients);
+        found->second.set_leaving(this->current_view().leaving);
+        if (!is_new)
+            continue;
+        found->second.on_host_check([this](const std::string& host) { return this->is_host_sure(host); });
+        this->start_rebuild(found->second, "new_owner");
+        log_state("cell_owned", {{"cell", pool.name}});
+        for (const endpoint_config& endpoint : found->second.endpoint_configs())
+            asio::co_spawn(this->context, this->probe(pool.name, endpoint), asio::detached);
+    }
+    std::erase_if(this->cells, [&](const auto& item) {
+        const bool is_lost = !owned.contains(item.first);
+        if (is_lost)
+            log_state("cell_handed_over", {{"cell", item.first}});
+        return is_lost;
+    });
+}
+
+void cells_duty::start_rebuild(cell& owned, const std::string& reason)
+{
+    process_events().record("rebuild", "", owned.name() + " " + reason);
+    this->hosts_heard.clear();
+    owned.begin_rebuild(runtime_clock::now());
+}
+
+void cells_duty::update_watching()
+{
+    std::vector<std::string> candidates = owner_candidates(this->members, this->settings.region);
+    bool watches = false;
+    for (std::size_t i = 0; i < watchers_per_region && !candidates.empty(); ++i) {
+        const std::string winner = rendezvous_winner(config_head_key, candidates);
+        watches = watches || winner == this->settings.host;
+        std::erase(candidates, winner);
+    }
+    this->set_watching(watches);
+}
+
+asio::awaitable<void> cells_duty::leave_and_stop()
+{
+    log_state("draining", {{"cells", std::to_string(this->cells.size())}});
+    this->membership.push(to_membership::leave{});
+    const time_point give_up_at = runtime_clock::now() + leave_time;
+    co_await pause_for(this->context, leave_time);
+    while (!this->cells.empty() && this->members.size() > 1 && runtime_clock::now() < give_up_at)
+        co_await pause_for(this->context, tick_time);
+    log_state("drained", {{"cells", std::to_string(this->cells.size())}});
+    this->context.stop();
+}
+
+fleet_view cells_duty::current_view() const
+{
+    fleet_view view;
+    view.members = this->members;
+    for (const listed_host& host : this->listed) {
+        if (host.is_leaving)
+            view.leaving.push_back(host.address);
+    }
+    return view;
+}
+
+bool cells_duty::is_host_sure(const std::string& host) const
+{
+    if (this->hosts_heard.contains(host))
+        return true;
+    return std::none_of(this->members.begin(), this->members.end(),
+                        [&](const member& known) { return known.host == host; });
+}
+
+cell* cells_duty::find_cell(const std::string& name)
+{
+    const auto found = this->cells.find(name);
+    return found == this->cells.end() ? nullptr : &found->second;
+}
+
+void cells_duty::refresh_status()
+{
+    const time_point now = runtime_clock::now();
+    nlohmann::json cells_json = nlohmann::json::array();
+    for (const auto& [name, owned] : this->cells) {
+        nlohmann::json endpoints = nlohmann::json::array();
+        for (const endpoint_view& view : owned.endpoints(now)) {
+            endpoints.push_back({{"name", view.name},
+                                 {"role", to_string(view.role)},
+                                 {"usable", view.usable},
+                                 {"slots", view.slots},
+                                 {"used", view.used},
+                                 {"token_us", to_ms(view.token_time) * 1'000}});
+        }
+        cells_json.push_back({{"cell", name},
+                              {"waiting", owned.waiting()},
+                              {"open_permits", owned.open_permits()},
+                              {"endpoints", endpoints}});
+        set_gauge("radishstep_cell_waiting", static_cast<double>(owned.waiting()), {{"cell", name}});
+        set_gauge("radishstep_cell_open_permits", static_cast<double>(owned.open_permits()), {{"cell", name}});
+    }
+    nlohmann::json members_json = nlohmann::json::array();
+    for (const member& known : this->members) {
+        members_json.push_back({{"host", known.host},
+                                {"zone", known.zone},
+                                {"region", known.region},
+                                {"state", to_string(known.state)},
+                                {"admin", known.admin_urls}});
+    }
+    const nlohmann::json status{{"process", "broker"},         {"host", this->settings.host},
+                                {"zone", this->settings.zone}, {"config_version", this->config_version},
+                                {"members", members_json},     {"cells", cells_json}};
+    const std::scoped_lock lock{this->status_mutex};
+    this->status_text = status.dump();
+}
+
+} // namespace radishstep
--- /dev/null
+++ b/src/broker/membership_duty.cpp
@@ -0,0 +1,180 @@
+#include "broker/membership_duty.h"
+
+#include <array>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/event_log.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "membership/member_wire.h"
+#include "wire/codec.h"
+#include "wire/generated/radishstep_types.h"
+
+namespace radishstep
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr milliseconds tick_time{50};
+constexpr std::size_t max_datagram_bytes = 65'507;
+
+member self_record(const broker_settings& settings, std::int64_t incarnation)
+{
+    member self;
+    self.host = settings.host;
+    self.zone = settings.zone;
+    self.region = settings.region;
+    self.address = settings.address;
+    self.gossip_port = settings.gossip_port;
+    self.link_port = settings.link_port;
+    self.incarnation = incarnation;
+    self.admin_urls = settings.admin + "," + settings.entry_admin;
+    return self;
+}
+
+} // namespace
+
+membership_duty::membership_duty(const broker_settings& settings, std::int64_t incarnation, membership_ring& inbox,
+                                 cells_ring& cells)
+    : inbox(inbox), cells(cells), gossip_port(settings.gossip_port), address(settings.address), context(1),
+      socket(this->context),
+      table(self_record(settings, incarnation), gossip_options{}, static_cast<std::uint64_t>(incarnation))
+{
+    this->inbox.on_wake([this] { asio::post(this->context, [this] { this->drain_inbox(); }); });
+    this->table.on_newer_config([this](const member& peer, std::int64_t version) {
+        this->cells.push(to_cells::newer_config{peer.link_address(), version});
+    });
+}
+
+result<void> membership_duty::open()
+{
+    boost::system::error_code failure;
+    const asio::ip::udp::endpoint local{asio::ip::make_address(this->address),
+                                        static_cast<std::uint16_t>(this->gossip_port)};
+    this->socket.open(local.protocol(), failure);
+    if (!failure)
+        this->socket.bind(local, failure);
+    if (failure) {
+        return fail(error_kind::bad_setting,
+                    "cannot bind UDP " + this->address + ":" + std::to_string(this->gossip_port) + ": " +
+                        failure.message(),
+                    "choose an --address of this host and a free --gossip-port");
+    }
+    return {};
+}
+
+void membership_duty::run()
+{
+    const auto work = asio::make_work_guard(this->context);
+    asio::co_spawn(this->context, this->receive_loop(), asio::detached);
+    asio::co_spawn(this->context, this->tick_loop(), asio::detached);
+    this->context.run();
+}
+
+void membership_duty::stop()
+{
+    this->context.stop();
+}
+
+asio::awaitable<void> membership_duty::receive_loop()
+{
+    std::string buffer(max_datagram_bytes, '\0');
+    while (true) {
+        asio::ip::udp::endpoint sender;
+        boost::system::error_code failure;
+        const std::size_t size = co_await this->socket.async_receive_from(
+            asio::buffer(buffer), sender, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            continue;
+        count("radishstep_gossip_bytes_total", {{"direction", "in"}}, static_cast<double>(size));
+        const auto datagram = wire::decode_gossip(std::string_view{buffer}.substr(0, size));
+        if (!datagram) {
+            count("radishstep_gossip_malformed_total");
+            continue;
+        }
+        this->send(this->table.receive(wire::from_wire(*datagram), runtime_clock::now()));
+        this->publish();
+    }
+}
+
+asio::awaitable<void> membership_duty::tick_loop()
+{
+    timer pause{this->context};
+    while (true) {
+        this->send(this->table.tick(runtime_clock::now()));
+        this->publish();
+        pause.expires_after(tick_time);
+        boost::system::error_code ignored;
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void membership_duty::drain_inbox()
+{
+    while (const auto message = this->inbox.pop())
+        std::visit([this](const auto& content) { this->handle(content); }, *message);
+    this->publish();
+}
+
+void membership_duty::handle(const to_membership::config_version& message)
+{
+    this->send(this->table.set_config_version(message.version));
+}
+
+void membership_duty::handle(const to_membership::peer_refused& message)
+{
+    this->send(this->table.declare_dead(message.host, message.incarnation, runtime_clock::now()));
+}
+
+void membership_duty::handle(const to_membership::seeds& message)
+{
+    for (const std::string& seed : message.addresses)
+        this->table.add_seed(seed, this->gossip_port);
+}
+
+void membership_duty::handle(const to_membership::leave& /*message*/)
+{
+    this->send(this->table.leave());
+}
+
+void membership_duty::send(const outgoing_gossips& out)
+{
+    for (const outgoing_gossip& letter : out) {
+        boost::system::error_code failure;
+        const auto ip = asio::ip::make_address(letter.address, failure);
+        if (failure)
+            continue;
+        const std::string bytes = wire::encode(wire::to_wire(letter.message));
+        const asio::ip::udp::endpoint target{ip, static_cast<std::uint16_t>(letter.port)};
+        // Gossip may be lost; what is lost is told again.
+        this->socket.send_to(asio::buffer(bytes), target, 0, failure);
+        count("radishstep_gossip_bytes_total", {{"direction", "out"}}, static_cast<double>(bytes.size()));
+    }
+}
+
+void membership_duty::publish()
+{
+    if (this->ever_published && this->published == this->table.changes())
+        return;
+    this->ever_published = true;
+    this->published = this->table.changes();
+    std::string text;
+    for (const member& known : this->table.members())
+        text += known.host + "=" + std::string{to_string(known.state)} + " ";
+    process_events().record("members", "", text);
+    log_state("members", {{"view", text}});
+    this->cells.push(to_cells::members{this->table.members()});
+}
+
+} // namespace radishstep
--- /dev/null
+++ b/src/entry/entry_settings.cpp
@@ -0,0 +1,67 @@
+#include "entry/entry_settings.h"
+
+#include "base/settings.h"
+
+namespace radishstep
+{
+
+namespace
+{
+
+constexpr const char* usage = R"(radishstep-entry: takes callers' requests and serves them from the endpoints.
+
+Usage:
+  radishstep-entry [options]
+
+Options:
+  --host NAME           Name of this host.
+  --zone NAME           Availability zone of this host.
+  --region NAME         Region of this host.
+  --site NAME           Site whose overlay applies.
+  --listen ADDRESS      Where callers connect, IP:port (127.0.0.1:8080).
+  --admin ADDRESS       Where operators connect, IP:port (127.0.0.1:8081).
+  --broker ADDRESS      Link address of this host's broker, IP:port (127.0.0.1:7100).
+  --key-value ADDRESS   Address of the key-value service, IP:port (127.0.0.1:9200).
+  --silence-ms N        A stream silent for so long is asked for on a new connection (3000).
+  --drain-notice-ms N   At a stop, how long connections are still accepted after readiness ends (1000).
+  --drain-ms N          At a stop, how long running requests may take (120000).
+  --body-bytes N        Longest request body (1048576).
+  --log-level NAME      TRACE, DEBUG, INFO, WARN or ERROR (INFO).
+  --check               Check the settings and stop.
+  --help                Show this text.
+
+Each option can be given as an environment variable: --key-value is RADISHSTEP_KEY_VALUE.)";
+
+constexpr std::int64_t longest_ms = 86'400'000;
+constexpr std::int64_t usual_body_bytes = 1'048'576;
+constexpr std::int64_t most_body_bytes = 67'108'864;
+
+} // namespace
+
+result<entry_settings> read_entry_settings(int argc, const char* const* argv)
+{
+    auto reader = settings_reader::parse(usage, argc, argv);
+    if (!reader)
+        return tl::unexpected{reader.error()};
+    entry_settings settings;
+    settings.host = reader->required("--host");
+    settings.zone = reader->required("--zone");
+    settings.region = reader->required("--region");
+    settings.site = reader->required("--site");
+    settings.listen = reader->address("--listen", "127.0.0.1:8080");
+    settings.admin = reader->address("--admin", "127.0.0.1:8081");
+    settings.broker = reader->address("--broker", "127.0.0.1:7100");
+    settings.key_value = reader->address("--key-value", "127.0.0.1:9200");
+    settings.silence_time = milliseconds{reader->number("--silence-ms", settings.silence_time.count(), 50, longest_ms)};
+    settings.drain_notice =
+        milliseconds{reader->number("--drain-notice-ms", settings.drain_notice.count(), 0, longest_ms)};
+    settings.drain_time = milliseconds{reader->number("--drain-ms", settings.drain_time.count(), 0, longest_ms)};
+    settings.body_bytes = reader->number("--body-bytes", usual_body_bytes, 1'024, most_body_bytes);
+    settings.log_level = reader->text("--log-level", "INFO");
+    settings.check_only = reader->is_given("--check");
+    if (const auto verdict = reader->verdict(); !verdict)
+        return tl::unexpected{verdict.error()};
+    return settings;
+}
+
+} // namespace radishstep
--- /dev/null
+++ b/src/entry/entry_settings.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "base/error.h"
+#include "base/runtime_clock.h"
+
+namespace radishstep
+{
+
+/// The settings of an entry process.
+struct entry_settings {
+    std::string host;
+    std::string zone;
+    std::string region;
+    std::string site;
+    std::string listen;
+    std::string admin;
+    std::string broker;
+    std::string key_value;
+    std::string log_level;
+    milliseconds silence_time{3'000};
+    milliseconds drain_notice{1'000};
+    milliseconds drain_time{120'000};
+    std::int64_t body_bytes = 0;
+    bool check_only = false;
+
+    bool operator==(const entry_settings&) const = default;
+};
+
+/// Returns the settings on the command line and in the environment, or what is wrong with them.
+result<entry_settings> read_entry_settings(int argc, const char* const* argv);
+
+} // namespace radishstep
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,376 @@
+#include "http/server.h"
+
+#include <array>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/text.h"
+
+namespace radishstep::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+
+struct server::shared_state {
+    asio::ip::tcp::acceptor listener;
+    server_limits limits;
+    request_handler handler;
+    refusal_writer refuse;
+    std::size_t connections = 0;
+    std::size_t requests = 0;
+    bool draining = false;
+};
+
+namespace
+{
+
+using parser_type = beast::http::request_parser<beast::http::string_body>;
+
+request to_request(parser_type::value_type& parsed)
+{
+    request asked;
+    asked.method = std::string{parsed.method_string()};
+    asked.target = std::string{parsed.target()};
+    for (const auto& field : parsed)
+        asked.lines.push_back({std::string{field.name_string()}, std::string{field.value()}});
+    asked.body = std::move(parsed.body());
+    return asked;
+}
+
+error to_refusal(const error_code& failure)
+{
+    if (failure == beast::error::timeout)
+        return {error_kind::timed_out, "the request did not arrive in time", "send the whole request without pauses"};
+    if (failure == beast::http::error::body_limit)
+        return {error_kind::too_large, "the body is too large", "send a shorter body"};
+    if (failure == beast::http::error::header_limit || failure == beast::http::error::buffer_overflow)
+        return {error_kind::too_large, "the header is too large", "send fewer or shorter header lines"};
+    return {error_kind::bad_request, "malformed HTTP request: " + failure.message(), "send one HTTP/1.1 request"};
+}
+
+bool came_from_parser(const error_code& failure)
+{
+    const bool is_http = failure.category() == make_error_code(beast::http::error::bad_method).category();
+    const bool ended = failure == beast::http::error::end_of_stream || failure == beast::http::error::partial_message;
+    return is_http && !ended;
+}
+
+/// One caller's connection.
+class session : public reply, public std::enable_shared_from_this<session>
+{
+public:
+    session(asio::ip::tcp::socket socket, std::shared_ptr<server::shared_state> state)
+        : stream(std::move(socket)), state(std::move(state))
+    {
+        ++this->state->connections;
+        error_code ignored;
+        this->stream.socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
+    }
+
+    ~session() override { --this->state->connections; }
+    session(const session&) = delete;
+    session& operator=(const session&) = delete;
+
+    asio::awaitable<void> run()
+    {
+        bool keep_open = true;
+        while (keep_open)
+            keep_open = co_await this->serve_one();
+        error_code ignored;
+        this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
+    asio::awaitable<bool> send(response answer) override
+    {
+        beast::http::response<beast::http::string_body> message;
+        message.result(answer.status);
+        for (const header& line : answer.lines)
+            message.insert(line.name, line.value);
+        message.body() = std::move(answer.body);
+        message.keep_alive(this->keeps_alive());
+        message.prepare_payload();
+        this->head_sent = true;
+        error_code failure;
+        this->stream.expires_after(this->state->limits.write_time);
+        co_await beast::http::async_write(this->stream, message, asio::redirect_error(asio::use_awaitable, failure));
+        co_return this->note(failure);
+    }
+
+    asio::awaitable<bool> begin(response head) override
+    {
+        beast::http::response<beast::http::empty_body> message;
+        message.result(head.status);
+        for (const header& line : head.lines)
+            message.insert(line.name, line.value);
+        message.keep_alive(this->keeps_alive());
+        message.chunked(true);
+        this->head_sent = true;
+        this->chunked_open = true;
+        beast::http::response_serializer<beast::http::empty_body> serializer{message};
+        error_code failure;
+        this->stream.expires_after(this->state->limits.write_time);
+        co_await beast::http::async_write_header(this->stream, serializer,
+                                                 asio::redirect_error(asio::use_awaitable, failure));
+        co_return this->note(failure);
+    }
+
+    asio::awaitable<bool> write(std::string part) override
+    {
+        error_code failure;
+        this->stream.expires_after(this->state->limits.write_time);
+        co_await asio::async_write(this->stream, beast::http::make_chunk(asio::buffer(part)),
+                                   asio::redirect_error(asio::use_awaitable, failure));
+        co_return this->note(failure);
+    }
+
+    asio::awaitable<bool> finish() override
+    {
+        this->chunked_open = false;
+        error_code failure;
+        this->stream.expires_after(this->state->limits.write_time);
+        co_await asio::async_write(this->stream, beast::http::make_chunk_last(),
+                                   asio::redirect_error(asio::use_awaitable, failure));
+        co_return this->note(failure);
+    }
+
+    void on_caller_gone(std::function<void()> hook) override { this->gone_hook = std::move(hook); }
+
+private:
+    bool keeps_alive() const { return this->wants_keep_alive && !this->state->draining; }
+
+    bool note(const error_code& failure)
+    {
+        if (failure)
+            this->broken = true;
+        return !failure;
+    }
+
+    asio::awaitable<bool> serve_one()
+    {
+        parser_type parser;
+        parser.header_limit(static_cast<std::uint32_t>(this->state->limits.header_bytes));
+        parser.body_limit(this->state->limits.body_bytes);
+        const error_code failure = co_await this->read_request(parser);
+        if (failure) {
+            co_await this->refuse_bytes(failure);
+            co_return false;
+        }
+        auto parsed = parser.release();
+        this->wants_keep_alive = parsed.keep_alive();
+        this->head_sent = false;
+        const request asked = to_request(parsed);
+        ++this->state->requests;
+        co_await this->answer(asked);
+        --this->state->requests;
+        co_return !this->broken && !this->chunked_open && this->head_sent && this->keeps_alive();
+    }
+
+    asio::awaitable<error_code> read_request(parser_type& parser)
+    {
+        error_code failure;
+        const bool waits_between_requests = this->buffer.size() == 0;
+        if (waits_between_requests) {
+            this->stream.expires_after(this->state->limits.idle_time);
+            // The first bytes may take the idle time; the rest of the header has its own limit.
+            co_await this->stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                                      asio::redirect_error(asio::use_awaitable, failure));
+            if (failure)
+                co_return failure;
+        }
+        this->stream.expires_after(this->state->limits.header_time);
+        co_await beast::http::async_read_header(this->stream, this->buffer, parser,
+                                                asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            co_return failure;
+        if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue"))
+            co_await this->send_continue();
+        this->stream.expires_after(this->state->limits.body_time);
+        co_await beast::http::async_read(this->stream, this->buffer, parser,
+                                         asio::redirect_error(asio::use_awaitable, failure));
+        co_return failure;
+    }
+
+    asio::awaitable<void> send_continue()
+    {
+        beast::http::response<beast::http::empty_body> go_on{beast::http::status::continue_, 11};
+        error_code ignored;
+        co_await beast::http::async_write(this->stream, go_on, asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    asio::awaitable<void> refuse_bytes(const error_code& failure)
+    {
+        const bool is_worth_an_answer = came_from_parser(failure) || failure == beast::error::timeout;
+        if (!is_worth_an_answer || this->buffer.size() == 0)
+            co_return;
+        count("radishstep_http_malformed_total");
+        this->wants_keep_alive = false;
+        co_await this->send(this->state->refuse(to_refusal(failure)));
+    }
+
+    asio::awaitable<void> answer(const request& asked)
+    {
+        this->watch_caller();
+        std::optional<error> failure;
+        try {
+            co_await this->state->handler(asked, *this);
+        } catch (const std::exception& thrown) {
+            log_problem("handler_failed", {{"target", asked.target}, {"cause", thrown.what()}});
+            failure = error{error_kind::protocol, "internal error", "report it with the log line handler_failed"};
+        }
+        this->stop_watching();
+        if (failure && !this->head_sent)
+            co_await this->send(this->state->refuse(*failure));
+    }
+
+    void watch_caller()
+    {
+        this->watching = true;
+        auto noticed = [self = this->shared_from_this()](const error_code& failure) {
+            if (!failure && self->watching && self->caller_has_closed())
+                self->report_gone();
+        };
+        this->stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                         asio::bind_cancellation_slot(this->watch_cancel.slot(), std::move(noticed)));
+    }
+
+    void stop_watching()
+    {
+        this->watching = false;
+        this->gone_hook = nullptr;
+        this->watch_cancel.emit(asio::cancellation_type::all);
+    }
+
+    bool caller_has_closed()
+    {
+        std::array<char, 1> next{};
+        error_code failure;
+        this->stream.socket().non_blocking(true, failure);
+        const std::size_t size =
+            this->stream.socket().receive(asio::buffer(next), asio::socket_base::message_peek, failure);
+        if (failure == asio::error::would_block)
+            return false;
+        return failure || size == 0;
+    }
+
+    void report_gone()
+    {
+        this->broken = true;
+        if (this->gone_hook)
+            std::exchange(this->gone_hook, nullptr)();
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::shared_ptr<server::shared_state> state;
+    std::function<void()> gone_hook;
+    asio::cancellation_signal watch_cancel;
+    bool watching = false;
+    bool wants_keep_alive = true;
+    bool head_sent = false;
+    bool chunked_open = false;
+    bool broken = false;
+};
+
+asio::awaitable<void> accept_callers(std::shared_ptr<server::shared_state> state)
+{
+    while (!state->draining) {
+        error_code failure;
+        auto socket = co_await state->listener.async_accept(asio::redirect_error(asio::use_awaitable, failure));
+        if (failure == asio::error::operation_aborted || failure == asio::error::bad_descriptor)
+            co_return;
+        if (failure)
+            continue;
+        if (state->connections >= state->limits.connections) {
+            count("radishstep_http_connections_refused_total");
+            continue;
+        }
+        const auto caller = std::make_shared<session>(std::move(socket), state);
+        asio::co_spawn(
+            state->listener.get_executor(), [caller] { return caller->run(); }, asio::detached);
+    }
+}
+
+} // namespace
+
+server::server(asio::ip::tcp::acceptor listener, server_limits limits, request_handler handler, refusal_writer refuse)
+    : state(std::make_shared<shared_state>(
+          shared_state{std::move(listener), limits, std::move(handler), std::move(refuse)}))
+{
+}
+
+server::~server()
+{
+    this->drain();
+}
+
+void server::start()
+{
+    asio::co_spawn(
+        this->state->listener.get_executor(), [state = this->state] { return accept_callers(state); }, asio::detached);
+}
+
+void server::drain()
+{
+    this->state->draining = true;
+    error_code ignored;
+    this->state->listener.close(ignored);
+}
+
+std::size_t server::requests_in_progress() const
+{
+    return this->state->requests;
+}
+
+result<asio::ip::tcp::endpoint> parse_address(const std::string& address)
+{
+    const std::size_t colon = address.rfind(':');
+    constexpr std::int64_t max_port = 65'535;
+    const std::string remedy = "write it as IP:port, for example 127.0.0.1:8080";
+    if (colon == std::string::npos)
+        return fail(error_kind::bad_setting, "address '" + address + "' has no port", remedy);
+    error_code failure;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), failure);
+    const auto port = to_integer(address.substr(colon + 1));
+    if (failure || !port || *port < 0 || *port > max_port)
+        return fail(error_kind::bad_setting, "address '" + address + "' is not an IP number and a port", remedy);
+    return asio::ip::tcp::endpoint{ip, static_cast<std::uint16_t>(*port)};
+}
+
+result<asio::ip::tcp::acceptor> listen(const asio::any_io_executor& executor, const std::string& address)
+{
+    const auto endpoint = parse_address(address);
+    if (!endpoint)
+        return tl::unexpected{endpoint.error()};
+    asio::ip::tcp::acceptor listener{executor};
+    error_code failure;
+    listener.open(endpoint->protocol(), failure);
+    if (!failure)
+        listener.set_option(asio::socket_base::reuse_address{true}, failure);
+    if (!failure)
+        listener.bind(*endpoint, failure);
+    if (!failure)
+        listener.listen(asio::socket_base::max_listen_connections, failure);
+    if (failure) {
+        return fail(error_kind::bad_setting, "cannot listen on " + address + ": " + failure.message(),
+                    "choose an address of this host and a free port");
+    }
+    return listener;
+}
+
+} // namespace radishstep::http
--- /dev/null
+++ b/src/platform/claim_store.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "base/runtime_clock.h"
+#include "routing/plain_call_machine.h"
+
+namespace radishstep
+{
+
+class kv_client;
+
+/// Who wants to run a non-idempotent call, and under which key.
+struct claim_wish {
+    std::string client;
+    std::string idempotency_key;
+    std::string owner;
+    std::string fingerprint;
+
+    bool operator==(const claim_wish&) const = default;
+};
+
+/// Claims in the key-value service: the right to run a non-idempotent call, given at most once a key.
+/// A claim is created before the first byte of the call leaves; its outcome is written after.
+class claim_store
+{
+public:
+    explicit claim_store(kv_client& store);
+
+    /// Returns claimed when this wish, and no other, may run the call. An answer of the service that
+    /// is lost is made up for by reading who owns the claim.
+    boost::asio::awaitable<plain_event::any> claim(claim_wish wish);
+
+    /// Writes the outcome into a claim of this owner; tries for a bounded time. Returns success.
+    boost::asio::awaitable<bool> record(claim_wish wish, claim_record outcome);
+
+    /// Returns the key under which the service keeps the claim.
+    static std::string key_of(const claim_wish& wish);
+
+private:
+    kv_client& store;
+};
+
+/// Returns the JSON form of a claim, and back; text that is none reads as in progress by nobody.
+std::string to_json(const claim_record& record);
+claim_record parse_claim(const std::string& text);
+
+} // namespace radishstep
--- /dev/null
+++ b/src/routing/permit_wire.cpp
@@ -0,0 +1,173 @@
+#include "routing/permit_wire.h"
+
+#include "wire/generated/radishstep_types.h"
+
+namespace radishstep::wire
+{
+
+namespace
+{
+
+using duration = runtime_clock::duration;
+
+std::int32_t to_ms32(duration span)
+{
+    return static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+std::int32_t to_us32(duration span)
+{
+    return static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::microseconds>(span).count());
+}
+
+/// Returns the error kind of a name; an unknown name counts as overloaded, which promises nothing.
+error_kind kind_of(const std::string& name)
+{
+    for (const error_kind kind : {error_kind::overloaded, error_kind::no_endpoint, error_kind::poison_request,
+                                  error_kind::unavailable, error_kind::unknown_model}) {
+        if (to_string(kind) == name)
+            return kind;
+    }
+    return error_kind::overloaded;
+}
+
+} // namespace
+
+PermitRequest to_wire(const permit_ask& ask, const std::string& cell)
+{
+    PermitRequest message;
+    message.request = ask.key.request;
+    message.attempt = ask.key.attempt;
+    message.cell = cell;
+    message.client = ask.client;
+    message.priority = static_cast<std::int32_t>(ask.priority);
+    message.prompt_tokens = ask.prompt_tokens;
+    message.answer_tokens = ask.answer_tokens;
+    message.prefix = static_cast<std::int64_t>(ask.prefix);
+    message.fingerprint = static_cast<std::int64_t>(ask.fingerprint);
+    message.patience_ms = to_ms32(ask.patience);
+    message.waited_ms = to_ms32(ask.waited);
+    message.avoid = ask.avoid;
+    return message;
+}
+
+Grant to_wire(const permit_grant& grant)
+{
+    Grant message;
+    message.request = grant.key.request;
+    message.attempt = grant.key.attempt;
+    message.prefill = grant.prefill;
+    message.decode = grant.decode;
+    return message;
+}
+
+Refusal to_wire(const permit_refusal& refusal)
+{
+    Refusal message;
+    message.request = refusal.key.request;
+    message.attempt = refusal.key.attempt;
+    message.kind = std::string{to_string(refusal.kind)};
+    message.retry_after_ms = to_ms32(refusal.retry_after);
+    return message;
+}
+
+Release to_wire(const permit_release& release, const std::string& cell)
+{
+    Release message;
+    message.request = release.key.request;
+    message.attempt = release.key.attempt;
+    message.cell = cell;
+    message.prefill_us = to_us32(release.prefill_time);
+    message.prompt_tokens = release.prompt_tokens;
+    message.tokens = release.tokens;
+    message.decode_us = to_us32(release.decode_time);
+    message.failed = release.failed;
+    message.died = release.died;
+    message.fingerprint = static_cast<std::int64_t>(release.fingerprint);
+    return message;
+}
+
+Reassert to_wire(const std::string& cell, const std::vector<open_permit>& permits,
+                 const std::vector<poison_strike>& strikes)
+{
+    Reassert message;
+    message.cell = cell;
+    for (const open_permit& permit : permits) {
+        OpenPermit open;
+        open.ask = to_wire(permit.ask, cell);
+        open.prefill = permit.prefill;
+        open.decode = permit.decode;
+        open.prefill_done = permit.prefill_done;
+        message.permits.push_back(std::move(open));
+    }
+    for (const poison_strike& strike : strikes) {
+        Strike told;
+        told.fingerprint = static_cast<std::int64_t>(strike.fingerprint);
+        told.deaths = strike.deaths;
+        message.strikes.push_back(told);
+    }
+    return message;
+}
+
+permit_ask from_wire(const PermitRequest& message, const std::string& holder)
+{
+    permit_ask ask;
+    ask.key = {message.request, message.attempt};
+    ask.holder = holder;
+    ask.client = message.client;
+    ask.priority = message.priority == 0 ? client_priority::interactive : client_priority::batch;
+    ask.prompt_tokens = message.prompt_tokens;
+    ask.answer_tokens = message.answer_tokens;
+    ask.prefix = static_cast<std::uint64_t>(message.prefix);
+    ask.fingerprint = static_cast<std::uint64_t>(message.fingerprint);
+    ask.patience = std::chrono::milliseconds{message.patience_ms};
+    ask.waited = std::chrono::milliseconds{message.waited_ms};
+    ask.avoid = message.avoid;
+    return ask;
+}
+
+permit_grant from_wire(const Grant& message)
+{
+    return {{message.request, message.attempt}, "", message.prefill, message.decode};
+}
+
+permit_refusal from_wire(const Refusal& message)
+{
+    return {{message.request, message.attempt},
+            "",
+            kind_of(message.kind),
+            std::chrono::milliseconds{message.retry_after_ms}};
+}
+
+permit_release from_wire(const Release& message, const std::string& holder)
+{
+    permit_release release;
+    release.key = {message.request, message.attempt};
+    release.holder = holder;
+    release.prefill_time = std::chrono::microseconds{message.prefill_us};
+    release.prompt_tokens = message.prompt_tokens;
+    release.tokens = message.tokens;
+    release.decode_time = std::chrono::microseconds{message.decode_us};
+    release.failed = message.failed;
+    release.died = message.died;
+    release.fingerprint = static_cast<std::uint64_t>(message.fingerprint);
+    return release;
+}
+
+std::vector<open_permit> permits_from_wire(const Reassert& message, const std::string& holder)
+{
+    std::vector<open_permit> permits;
+    for (const OpenPermit& open : message.permits)
+        permits.push_back({from_wire(open.ask, holder), open.prefill, open.decode, open.prefill_done});
+    return permits;
+}
+
+std::vector<poison_strike> strikes_from_wire(const Reassert& message)
+{
+    std::vector<poison_strike> strikes;
+    for (const Strike& told : message.strikes)
+        strikes.push_back({static_cast<std::uint64_t>(told.fingerprint), told.deaths});
+    return strikes;
+}
+
+} // namespace radishstep::wire
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,78 @@
+#include "wire/codec.h"
+
+#include <memory>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include "wire/generated/radishstep_types.h"
+
+namespace radishstep::wire
+{
+
+namespace
+{
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr int max_message_bytes = 8 * 1024 * 1024;
+constexpr int max_nesting = 16;
+
+std::shared_ptr<TConfiguration> limits()
+{
+    return std::make_shared<TConfiguration>(max_message_bytes, max_message_bytes, max_nesting);
+}
+
+template <typename Value>
+std::string encode_value(const Value& value)
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocolT<TMemoryBuffer> protocol{buffer};
+    value.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+template <typename Value>
+result<Value> decode_value(std::string_view bytes)
+{
+    // The buffer only reads, but its interface takes bytes that may be changed.
+    auto* start = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
+    const auto size = static_cast<std::uint32_t>(bytes.size());
+    const auto buffer = std::make_shared<TMemoryBuffer>(start, size, TMemoryBuffer::OBSERVE, limits());
+    const auto longest = static_cast<int>(size);
+    TCompactProtocolT<TMemoryBuffer> protocol{buffer, longest, longest};
+    Value value;
+    try {
+        value.read(&protocol);
+    } catch (const std::exception& failure) {
+        return fail(error_kind::protocol, std::string{"malformed message: "} + failure.what(),
+                    "run the same version on all hosts");
+    }
+    return value;
+}
+
+} // namespace
+
+std::string encode(const Message& message)
+{
+    return encode_value(message);
+}
+
+std::string encode(const Gossip& gossip)
+{
+    return encode_value(gossip);
+}
+
+result<Message> decode_message(std::string_view bytes)
+{
+    return decode_value<Message>(bytes);
+}
+
+result<Gossip> decode_gossip(std::string_view bytes)
+{
+    return decode_value<Gossip>(bytes);
+}
+
+} // namespace radishstep::wire
--- /dev/null
+++ b/src/wire/radishstep.thrift
@@ -0,0 +1,152 @@
+// Messages between radishstep's own processes, in Thrift's compact protocol.
+// Over TCP each message is one frame: a 4-byte big-endian length, the sender's
+// 8-byte hybrid clock, then one Message.
+// Over UDP each datagram is one Gossip.
+
+namespace cpp radishstep.wire
+
+struct PermitRequest {
+  1: string request
+  2: i32 attempt
+  3: string cell
+  4: string client
+  5: i32 priority
+  6: i32 prompt_tokens
+  7: i32 answer_tokens
+  8: i64 prefix
+  9: i64 fingerprint
+  10: i32 patience_ms
+  11: list<string> avoid
+  12: i32 waited_ms
+}
+
+struct Grant {
+  1: string request
+  2: i32 attempt
+  3: string prefill
+  4: string decode
+}
+
+struct Refusal {
+  1: string request
+  2: i32 attempt
+  3: string kind
+  4: i32 retry_after_ms
+}
+
+// The end of a permit, or of a permit request that is not wanted any more.
+struct Release {
+  1: string request
+  2: i32 attempt
+  3: string cell
+  4: i32 prefill_us
+  5: i32 tokens
+  6: i32 decode_us
+  7: list<string> failed
+  8: list<string> died
+  9: i64 fingerprint
+  10: i32 prompt_tokens
+}
+
+// The prefill endpoint has handed its result over; its slot is free again.
+struct PrefillDone {
+  1: string request
+  2: i32 attempt
+  3: string cell
+  4: i32 prefill_us
+}
+
+struct OpenPermit {
+  1: PermitRequest ask
+  2: string prefill
+  3: string decode
+  4: bool prefill_done
+}
+
+struct Strike {
+  1: i64 fingerprint
+  2: i32 deaths
+}
+
+// What an entry process holds of one cell; complete, so that the receiver may drop the rest.
+struct Reassert {
+  1: string cell
+  2: list<OpenPermit> permits
+  3: list<Strike> strikes
+}
+
+// How long an endpoint took for a token lately, as the streams through one entry process saw it.
+struct Pace {
+  1: string cell
+  2: string endpoint
+  3: i32 token_us
+}
+
+// A connection to this host's broker was refused: nothing listens there any more.
+struct PeerRefused {
+  1: string host
+  2: i64 incarnation
+}
+
+struct Hello {
+  1: string process
+  2: string host
+  3: i64 incarnation
+}
+
+struct MemberRecord {
+  1: string host
+  2: string zone
+  3: string region
+  4: string address
+  5: i32 gossip_port
+  6: i32 link_port
+  7: i64 incarnation
+  8: i32 state
+  9: string admin_urls
+}
+
+struct View {
+  1: list<MemberRecord> members
+  // IP numbers of hosts, of any kind, that are leaving.
+  2: list<string> leaving
+}
+
+struct ConfigFetch {
+  1: i64 above
+}
+
+struct ConfigPush {
+  1: i64 version
+  2: string document
+}
+
+struct Heartbeat {
+  1: i64 sequence
+}
+
+union Message {
+  1: Hello hello
+  2: PermitRequest permit_request
+  3: Grant grant
+  4: Refusal refusal
+  5: Release release
+  6: PrefillDone prefill_done
+  7: Reassert reassert
+  8: View view
+  9: ConfigFetch config_fetch
+  10: ConfigPush config_push
+  11: Heartbeat heartbeat
+  12: Pace pace
+  13: PeerRefused peer_refused
+}
+
+struct Gossip {
+  1: i32 kind
+  2: i64 sequence
+  3: MemberRecord sender
+  4: string target
+  5: list<MemberRecord> news
+  6: i64 stamp
+  7: i64 config_version
+}
--- /dev/null
+++ b/tests/standins/standin_server.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include "base/runtime_clock.h"
+#include "http/server.h"
+
+namespace radishstep::standin
+{
+
+/// Serves `handler` on `address` until the process is told to stop; returns the exit code.
+int serve(boost::asio::io_context& context, const std::string& address, http::request_handler handler);
+
+/// Waits for `span` on the caller's executor.
+boost::asio::awaitable<void> sleep_for(runtime_clock::duration span);
+
+/// Returns a JSON response.
+http::response json_answer(unsigned status, const nlohmann::json& body);
+
+/// Returns the JSON object in a body, empty when there is none.
+nlohmann::json parse_body(const http::request& asked);
+
+/// Returns the value of "--name=value" among the arguments.
+std::string flag(int argc, char** argv, const std::string& name, const std::string& fallback);
+int flag(int argc, char** argv, const std::string& name, int fallback);
+
+} // namespace radishstep::standin
