--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -9,13 +9,11 @@
 #include "base/text.h"
 #include "http/server.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_accepted = 202;
--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -8,16 +8,15 @@
 
 #include "base/error.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace http
-{
+namespace http {
 class server;
 }
 
 /// What a process shows to operators besides its metrics and events.
-struct admin_hooks {
+struct admin_hooks
+{
     /// Returns the process' state as JSON.
     std::function<std::string()> status;
     /// Starts a graceful stop.
--- a/src/base/bounded_ring.h
+++ b/src/base/bounded_ring.h
@@ -8,8 +8,7 @@
 
 #include <boost/circular_buffer.hpp>
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// A bounded queue between two duties. A full ring refuses the new item, so that the producer
 /// decides what to do; the `wake` hook tells the consumer's thread that there is something to read.
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -3,13 +3,12 @@
 #include <array>
 #include <utility>
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
-struct kind_row {
+struct kind_row
+{
     error_kind kind;
     std::string_view name;
     unsigned status;
@@ -50,7 +49,7 @@
         if (row.kind == kind)
             return row;
     }
-    std::unreachable();
+    return kind_rows.front();
 }
 
 } // namespace
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -5,8 +5,7 @@
 
 #include <tl/expected.hpp>
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// Every way an operation can fail. The text form is stable: callers and operators match on it.
 enum class error_kind {
@@ -45,7 +44,8 @@
 unsigned http_status(error_kind kind);
 
 /// A failure together with what its reader can do about it.
-struct error {
+struct error
+{
     error_kind kind = error_kind::protocol;
     std::string message;
     std::string remedy;
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -7,8 +7,7 @@
 
 #include "base/hybrid_clock.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 event_log::event_log(std::size_t capacity) : events(capacity) {}
 
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -8,11 +8,11 @@
 
 #include <boost/circular_buffer.hpp>
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// One entry of the time line.
-struct timeline_event {
+struct timeline_event
+{
     std::uint64_t stamp = 0;
     std::string process;
     std::string kind;
@@ -23,7 +23,8 @@
 };
 
 /// Which events a reader of the time line wants. Empty fields match all.
-struct timeline_query {
+struct timeline_query
+{
     std::uint64_t since = 0;
     std::string request;
     std::size_t limit = 10'000;
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -5,8 +5,7 @@
 #include <openssl/evp.h>
 #include <xxhash.h>
 
-namespace radishstep
-{
+namespace radishstep {
 
 std::uint64_t hash64(std::string_view bytes, std::uint64_t seed)
 {
--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -5,8 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// Returns the 64-bit xxHash of `bytes`.
 std::uint64_t hash64(std::string_view bytes, std::uint64_t seed = 0);
--- a/src/base/hybrid_clock.cpp
+++ b/src/base/hybrid_clock.cpp
@@ -4,8 +4,7 @@
 
 #include "base/runtime_clock.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 std::uint64_t hybrid_clock::next()
 {
--- a/src/base/hybrid_clock.h
+++ b/src/base/hybrid_clock.h
@@ -3,8 +3,7 @@
 #include <atomic>
 #include <cstdint>
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// A hybrid logical clock: stamps follow wall time and never run behind a stamp seen from a peer.
 /// A stamp holds milliseconds in its upper 48 bits and a counter in its lower 16.
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -9,11 +9,9 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 log4cplus::Initializer& library()
 {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -5,8 +5,7 @@
 #include <string_view>
 #include <utility>
 
-namespace radishstep
-{
+namespace radishstep {
 
 using log_field = std::pair<std::string_view, std::string>;
 
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -9,11 +9,9 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 prometheus::Registry& registry()
 {
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -4,8 +4,7 @@
 #include <string>
 #include <utility>
 
-namespace radishstep
-{
+namespace radishstep {
 
 using metric_label = std::pair<std::string, std::string>;
 using metric_labels = std::initializer_list<metric_label>;
--- a/src/base/runtime_clock.cpp
+++ b/src/base/runtime_clock.cpp
@@ -2,11 +2,9 @@
 
 #include <atomic>
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 using rep = runtime_clock::rep;
 
--- a/src/base/runtime_clock.h
+++ b/src/base/runtime_clock.h
@@ -5,8 +5,7 @@
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/wait_traits.hpp>
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// The one monotonic clock of every module. Tests pause it and advance it by hand.
 class runtime_clock
@@ -47,7 +46,8 @@
 
 /// Makes timers notice an advanced clock: while it is paused they look again every millisecond.
 template <>
-struct boost::asio::wait_traits<radishstep::runtime_clock> {
+struct boost::asio::wait_traits<radishstep::runtime_clock>
+{
     static radishstep::runtime_clock::duration to_wait_duration(const radishstep::runtime_clock::duration& span)
     {
         constexpr std::chrono::milliseconds paused_poll{1};
@@ -65,8 +65,7 @@
     }
 };
 
-namespace radishstep
-{
+namespace radishstep {
 
 using timer = boost::asio::basic_waitable_timer<runtime_clock>;
 
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -9,11 +9,9 @@
 #include "base/text.h"
 #include "http/server.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 std::string environment_name(const std::string& flag)
 {
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -7,8 +7,7 @@
 
 #include "base/error.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// Reads a process' settings: a flag goes before the environment variable of the same name
 /// ("--link-port" and RADISHSTEP_LINK_PORT), and that before the default.
--- a/src/base/supervisor.cpp
+++ b/src/base/supervisor.cpp
@@ -7,8 +7,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 supervisor::supervisor(std::string name, restart_limit limit) : name(std::move(name)), limit(limit) {}
 
--- a/src/base/supervisor.h
+++ b/src/base/supervisor.h
@@ -8,11 +8,11 @@
 
 #include "base/runtime_clock.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// How often a duty may fail before its supervisor gives up.
-struct restart_limit {
+struct restart_limit
+{
     int restarts = 5;
     runtime_clock::duration window = std::chrono::seconds{10};
 
@@ -45,7 +45,8 @@
     void stop();
 
 private:
-    struct duty {
+    struct duty
+    {
         std::string name;
         std::function<void()> run;
         std::function<void()> stop;
--- a/src/base/text.cpp
+++ b/src/base/text.cpp
@@ -6,8 +6,7 @@
 #include <boost/locale/utf.hpp>
 #include <openssl/evp.h>
 
-namespace radishstep
-{
+namespace radishstep {
 
 bool is_utf8(std::string_view bytes)
 {
--- a/src/base/text.h
+++ b/src/base/text.h
@@ -5,8 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// Returns true when `bytes` is well-formed UTF-8.
 bool is_utf8(std::string_view bytes);
--- a/src/broker/broker_settings.cpp
+++ b/src/broker/broker_settings.cpp
@@ -3,11 +3,9 @@
 #include "base/settings.h"
 #include "http/server.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 constexpr const char* usage =
     R"(radishstep-broker: knows the router hosts, spreads the configuration and decides for the cells of this host.
--- a/src/broker/broker_settings.h
+++ b/src/broker/broker_settings.h
@@ -6,11 +6,11 @@
 #include "base/error.h"
 #include "base/runtime_clock.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// The settings of a broker process.
-struct broker_settings {
+struct broker_settings
+{
     std::string host;
     std::string zone;
     std::string region;
--- a/src/broker/cells_duty.cpp
+++ b/src/broker/cells_duty.cpp
@@ -21,13 +21,11 @@
 #include "wire/frame_link.h"
 #include "wire/generated/radishstep_types.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr milliseconds tick_time{10};
 constexpr milliseconds frozen_time{1'000};
--- a/src/broker/cells_duty.h
+++ b/src/broker/cells_duty.h
@@ -22,11 +22,9 @@
 #include "membership/member.h"
 #include "routing/cell.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace wire
-{
+namespace wire {
 class frame_link;
 class Message;
 } // namespace wire
@@ -56,7 +54,8 @@
 
 private:
     /// One entry process, or another broker, that is connected.
-    struct peer {
+    struct peer
+    {
         std::shared_ptr<wire::frame_link> link;
         std::string holder;
         std::string host;
--- a/src/broker/duty_messages.h
+++ b/src/broker/duty_messages.h
@@ -9,27 +9,29 @@
 #include "membership/member.h"
 #include "platform/host_list_client.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// What the other duties tell the membership duty.
-namespace to_membership
-{
+namespace to_membership {
 
-struct config_version {
+struct config_version
+{
     std::int64_t version;
     bool operator==(const config_version&) const = default;
 };
-struct peer_refused {
+struct peer_refused
+{
     std::string host;
     std::int64_t incarnation;
     bool operator==(const peer_refused&) const = default;
 };
-struct seeds {
+struct seeds
+{
     std::vector<std::string> addresses;
     bool operator==(const seeds&) const = default;
 };
-struct leave {
+struct leave
+{
     bool operator==(const leave&) const = default;
 };
 
@@ -38,28 +40,32 @@
 } // namespace to_membership
 
 /// What the other duties tell the cells duty.
-namespace to_cells
-{
+namespace to_cells {
 
-struct members {
+struct members
+{
     std::vector<member> all;
     bool operator==(const members&) const = default;
 };
-struct host_list {
+struct host_list
+{
     std::vector<listed_host> hosts;
     bool operator==(const host_list&) const = default;
 };
-struct config {
+struct config
+{
     std::string document;
     bool operator==(const config&) const = default;
 };
 /// A peer has a higher version of the configuration.
-struct newer_config {
+struct newer_config
+{
     std::string link_address;
     std::int64_t version;
     bool operator==(const newer_config&) const = default;
 };
-struct drain {
+struct drain
+{
     bool operator==(const drain&) const = default;
 };
 
--- a/src/broker/main.cpp
+++ b/src/broker/main.cpp
@@ -15,8 +15,7 @@
 #include "broker/membership_duty.h"
 #include "broker/platform_duty.h"
 
-namespace
-{
+namespace {
 
 namespace asio = boost::asio;
 using namespace radishstep;
--- a/src/broker/membership_duty.cpp
+++ b/src/broker/membership_duty.cpp
@@ -18,13 +18,11 @@
 #include "wire/codec.h"
 #include "wire/generated/radishstep_types.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr milliseconds tick_time{50};
 constexpr std::size_t max_datagram_bytes = 65'507;
--- a/src/broker/membership_duty.h
+++ b/src/broker/membership_duty.h
@@ -11,8 +11,7 @@
 #include "broker/duty_messages.h"
 #include "membership/member_table.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// The broker's membership duty: gossips with the other hosts over UDP and tells the cells duty who
 /// they are.
--- a/src/broker/platform_duty.cpp
+++ b/src/broker/platform_duty.cpp
@@ -12,13 +12,11 @@
 #include "base/log.h"
 #include "config/config_document.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr milliseconds watch_time{5'000};
 constexpr milliseconds host_list_period{500};
--- a/src/broker/platform_duty.h
+++ b/src/broker/platform_duty.h
@@ -13,8 +13,7 @@
 #include "platform/host_list_client.h"
 #include "platform/kv_client.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// The broker's platform duty: reads the host list, and watches the configuration while this host is
 /// one of the few of its region that do.
--- a/src/config/config_document.cpp
+++ b/src/config/config_document.cpp
@@ -2,8 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace radishstep
-{
+namespace radishstep {
 
 std::string to_json(const config_document& document)
 {
--- a/src/config/config_document.h
+++ b/src/config/config_document.h
@@ -7,11 +7,11 @@
 #include "base/error.h"
 #include "config/config_reader.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// The versioned document that the key-value service holds: the base text and each site's overlay.
-struct config_document {
+struct config_document
+{
     std::int64_t version = 0;
     std::string author;
     std::string note;
--- a/src/config/config_reader.cpp
+++ b/src/config/config_reader.cpp
@@ -9,11 +9,9 @@
 
 #include "http/server.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 constexpr std::int64_t max_slots = 4'096;
 constexpr std::int64_t max_blocks = 10'000'000;
--- a/src/config/config_reader.h
+++ b/src/config/config_reader.h
@@ -6,11 +6,11 @@
 #include "base/error.h"
 #include "config/site_config.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// A TOML text and the name under which errors mention it.
-struct config_text {
+struct config_text
+{
     std::string file;
     std::string text;
 
@@ -18,7 +18,8 @@
 };
 
 /// Something in a configuration text that its author should see.
-struct config_finding {
+struct config_finding
+{
     std::string file;
     unsigned line = 0;
     std::string key;
@@ -33,7 +34,8 @@
 std::string describe(const config_finding& finding);
 
 /// The outcome of reading a base document and an overlay.
-struct config_reading {
+struct config_reading
+{
     site_config config;
     std::vector<config_finding> findings;
 
--- a/src/config/site_config.cpp
+++ b/src/config/site_config.cpp
@@ -4,11 +4,9 @@
 
 #include "base/hash.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 template <typename Item>
 const Item* find_named(const std::vector<Item>& items, std::string_view name)
--- a/src/config/site_config.h
+++ b/src/config/site_config.h
@@ -7,8 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace radishstep
-{
+namespace radishstep {
 
 enum class endpoint_role { prefill, decode, plain };
 
@@ -16,7 +15,8 @@
 std::string_view to_string(endpoint_role role);
 
 /// One engine or plain-service process that requests are routed to.
-struct endpoint_config {
+struct endpoint_config
+{
     std::string name;
     std::string zone;
     endpoint_role role = endpoint_role::plain;
@@ -32,7 +32,8 @@
 };
 
 /// The prefill and decode endpoints that serve the same models.
-struct pool_config {
+struct pool_config
+{
     std::string name;
     std::vector<std::string> models;
     std::vector<endpoint_config> endpoints;
@@ -48,7 +49,8 @@
 };
 
 /// A plain HTTP service, chosen by the path of the call.
-struct service_config {
+struct service_config
+{
     std::string name;
     std::string path;
     std::vector<endpoint_config> endpoints;
@@ -61,7 +63,8 @@
 enum class client_priority { interactive = 0, batch = 1 };
 
 /// One account that may call, and what it was granted.
-struct client_config {
+struct client_config
+{
     std::string name;
     std::string key_sha256;
     std::vector<std::string> pools;
@@ -73,7 +76,8 @@
 };
 
 /// The configuration of one site: the base document with the site's overlay applied.
-struct site_config {
+struct site_config
+{
     std::int64_t version = 0;
     std::string site;
     std::string region;
--- a/src/entry/broker_control.cpp
+++ b/src/entry/broker_control.cpp
@@ -22,13 +22,11 @@
 #include "wire/frame_link.h"
 #include "wire/generated/radishstep_types.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr milliseconds tick_time{50};
 constexpr milliseconds reconnect_time{200};
@@ -178,6 +176,9 @@
         this->push_to_traffic(to_traffic::leaving_hosts{next.leaving});
     this->view = std::move(next);
     this->view_known = true;
+    this->host_leaving = std::any_of(this->view.members.begin(), this->view.members.end(), [this](const member& known) {
+        return known.host == this->settings.host && known.state == member_state::leaving;
+    });
     this->update_owners();
     this->keep_links();
 }
--- a/src/entry/broker_control.h
+++ b/src/entry/broker_control.h
@@ -17,11 +17,9 @@
 #include "membership/member.h"
 #include "routing/poison_list.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace wire
-{
+namespace wire {
 class frame_link;
 class Message;
 } // namespace wire
@@ -45,23 +43,29 @@
     /// Returns true while a broker has told who the members are; safe on all threads.
     bool has_view() const { return this->view_known; }
 
+    /// Returns true while the fleet counts this host as leaving; safe on all threads.
+    bool is_leaving() const { return this->host_leaving; }
+
     /// Returns how many permits and requests for permits are open; safe on all threads.
     std::size_t open_count() const { return this->open_permits; }
 
 private:
-    struct held_permit {
+    struct held_permit
+    {
         permit_ask wish;
         std::optional<permit_grant> grant;
         bool prefill_done = false;
         time_point asked_at;
         time_point last_sent;
     };
-    struct cell_state {
+    struct cell_state
+    {
         std::string owner;
         std::map<permit_key, held_permit> permits;
         poison_list strikes;
     };
-    struct peer_link {
+    struct peer_link
+    {
         std::string address;
         std::int64_t incarnation = 0;
         std::shared_ptr<wire::frame_link> link;
@@ -103,6 +107,7 @@
     fleet_view view;
     std::int64_t config_version = 0;
     std::atomic<bool> view_known{false};
+    std::atomic<bool> host_leaving{false};
     std::atomic<std::size_t> open_permits{0};
 };
 
--- a/src/entry/completion_api.cpp
+++ b/src/entry/completion_api.cpp
@@ -6,11 +6,9 @@
 
 #include "base/text.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 using nlohmann::json;
 
--- a/src/entry/completion_api.h
+++ b/src/entry/completion_api.h
@@ -6,11 +6,11 @@
 #include "base/error.h"
 #include "http/message.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// A completion or chat completion as a caller asked for it.
-struct completion_request {
+struct completion_request
+{
     std::string model;
     std::string prompt;
     int max_tokens = 256;
@@ -22,7 +22,8 @@
 };
 
 /// What a caller gets besides the text.
-struct completion_identity {
+struct completion_identity
+{
     std::string id;
     std::string model;
     std::int64_t created_s = 0;
--- a/src/entry/control_messages.h
+++ b/src/entry/control_messages.h
@@ -9,30 +9,32 @@
 #include "config/site_config.h"
 #include "routing/permit.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// What the traffic duty tells the control duty.
-namespace to_control
-{
+namespace to_control {
 
-struct ask {
+struct ask
+{
     std::string cell;
     permit_ask wish;
     bool operator==(const ask&) const = default;
 };
-struct release {
+struct release
+{
     std::string cell;
     permit_release done;
     bool operator==(const release&) const = default;
 };
-struct prefilled {
+struct prefilled
+{
     std::string cell;
     permit_key key;
     runtime_clock::duration prefill_time;
     bool operator==(const prefilled&) const = default;
 };
-struct pace {
+struct pace
+{
     std::string cell;
     std::string endpoint;
     runtime_clock::duration token_time;
@@ -44,16 +46,17 @@
 } // namespace to_control
 
 /// What the control duty tells the traffic duty.
-namespace to_traffic
-{
+namespace to_traffic {
 
-struct config {
+struct config
+{
     std::shared_ptr<const site_config> site;
     bool operator==(const config&) const = default;
 };
 
 /// The IP numbers of hosts that are leaving: endpoints there get no new calls.
-struct leaving_hosts {
+struct leaving_hosts
+{
     std::vector<std::string> addresses;
     bool operator==(const leaving_hosts&) const = default;
 };
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -17,13 +17,11 @@
 #include "entry/model_request.h"
 #include "entry/plain_call.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
@@ -46,8 +44,8 @@
 } // namespace
 
 entry_server::entry_server(const entry_settings& settings, std::int64_t incarnation, control_ring& control,
-                           traffic_ring& inbox, std::function<bool()> has_view)
-    : settings(settings), inbox(inbox), has_view(std::move(has_view)), context(1),
+                           traffic_ring& inbox, std::function<bool()> may_take_callers)
+    : settings(settings), inbox(inbox), may_take_callers(std::move(may_take_callers)), context(1),
       shared(this->context.get_executor(), settings, incarnation, control)
 {
     this->inbox.on_wake([this] { asio::post(this->context, [this] { this->drain_inbox(); }); });
@@ -88,7 +86,7 @@
 
 bool entry_server::is_ready() const
 {
-    return this->has_config && this->has_view() && !this->draining;
+    return this->has_config && this->may_take_callers() && !this->draining;
 }
 
 asio::awaitable<void> entry_server::handle(const http::request& asked, http::reply& reply)
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -15,15 +15,14 @@
 #include "entry/traffic_context.h"
 #include "http/server.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// The entry's traffic duty: takes callers' HTTP requests, checks who asks for what, and serves them.
 class entry_server
 {
 public:
     entry_server(const entry_settings& settings, std::int64_t incarnation, control_ring& control, traffic_ring& inbox,
-                 std::function<bool()> has_view);
+                 std::function<bool()> may_take_callers);
     ~entry_server();
     entry_server(const entry_server&) = delete;
     entry_server& operator=(const entry_server&) = delete;
@@ -49,7 +48,8 @@
 
 private:
     /// A completion and the pool that serves it.
-    struct completion_target {
+    struct completion_target
+    {
         completion_request wanted;
         pool_config pool;
     };
@@ -70,7 +70,7 @@
 
     entry_settings settings;
     traffic_ring& inbox;
-    std::function<bool()> has_view;
+    std::function<bool()> may_take_callers;
     boost::asio::io_context context;
     traffic_context shared;
     std::unique_ptr<http::server> server;
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -2,11 +2,9 @@
 
 #include "base/settings.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 constexpr const char* usage = R"(radishstep-entry: takes callers' requests and serves them from the endpoints.
 
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -6,11 +6,11 @@
 #include "base/error.h"
 #include "base/runtime_clock.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// The settings of an entry process.
-struct entry_settings {
+struct entry_settings
+{
     std::string host;
     std::string zone;
     std::string region;
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -15,8 +15,7 @@
 #include "entry/entry_server.h"
 #include "entry/entry_settings.h"
 
-namespace
-{
+namespace {
 
 namespace asio = boost::asio;
 using namespace radishstep;
@@ -59,7 +58,8 @@
     control_ring control_inbox{ring_capacity};
     traffic_ring traffic_inbox{ring_capacity};
     broker_control control{settings, incarnation, control_inbox, traffic_inbox};
-    entry_server server{settings, incarnation, control_inbox, traffic_inbox, [&control] { return control.has_view(); }};
+    entry_server server{settings, incarnation, control_inbox, traffic_inbox,
+                        [&control] { return control.has_view() && !control.is_leaving(); }};
     if (const auto opened = server.open(); !opened)
         return refuse_start(opened.error());
     asio::io_context admin_context{1};
--- a/src/entry/model_request.cpp
+++ b/src/entry/model_request.cpp
@@ -17,13 +17,11 @@
 #include "entry/traffic_context.h"
 #include "http/event_stream.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 using duration = runtime_clock::duration;
 
--- a/src/entry/model_request.h
+++ b/src/entry/model_request.h
@@ -16,8 +16,7 @@
 #include "http/server.h"
 #include "routing/request_machine.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 struct traffic_context;
 
@@ -34,7 +33,8 @@
 
 private:
     /// What was seen of one attempt, for its release.
-    struct attempt_times {
+    struct attempt_times
+    {
         time_point prefill_started;
         runtime_clock::duration prefill_time{};
         time_point first_token;
--- a/src/entry/plain_call.cpp
+++ b/src/entry/plain_call.cpp
@@ -12,13 +12,11 @@
 #include "entry/completion_api.h"
 #include "entry/traffic_context.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr std::size_t max_recorded_body_bytes = 256UL * 1024;
 constexpr std::int64_t retry_after_refusal_s = 1;
--- a/src/entry/plain_call.h
+++ b/src/entry/plain_call.h
@@ -11,8 +11,7 @@
 #include "platform/claim_store.h"
 #include "routing/plain_call_machine.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 struct traffic_context;
 
--- a/src/entry/traffic_context.cpp
+++ b/src/entry/traffic_context.cpp
@@ -4,8 +4,7 @@
 
 #include "base/metrics.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 traffic_context::traffic_context(boost::asio::any_io_executor executor, entry_settings settings,
                                  std::int64_t incarnation, control_ring& control)
--- a/src/entry/traffic_context.h
+++ b/src/entry/traffic_context.h
@@ -17,11 +17,11 @@
 #include "platform/kv_client.h"
 #include "routing/endpoint_balancer.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// What the requests of one entry process share. All of it belongs to the traffic duty's thread.
-struct traffic_context {
+struct traffic_context
+{
     traffic_context(boost::asio::any_io_executor executor, entry_settings settings, std::int64_t incarnation,
                     control_ring& control);
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -12,22 +12,21 @@
 
 #include "http/server.h"
 
-namespace radishstep::http
-{
+namespace radishstep::http {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 using boost::system::error_code;
 
-namespace
-{
+namespace {
 
 constexpr std::size_t max_idle_per_address = 64;
 constexpr std::size_t stream_part_bytes = 16UL * 1024;
 constexpr std::uint64_t max_body_bytes = 16ULL * 1024 * 1024;
 constexpr std::chrono::seconds max_idle_time{30};
 
-struct connection {
+struct connection
+{
     explicit connection(const asio::any_io_executor& executor) : stream(executor) {}
 
     beast::tcp_stream stream;
@@ -115,7 +114,8 @@
     return this->aborted;
 }
 
-struct client::idle_pool {
+struct client::idle_pool
+{
     asio::any_io_executor executor;
     std::map<std::string, std::deque<connection_ptr>> kept;
 
@@ -183,8 +183,7 @@
     }
 };
 
-namespace
-{
+namespace {
 
 /// A response that is being read from its connection part by part.
 class connection_stream : public body_stream
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -13,8 +13,7 @@
 #include "base/runtime_clock.h"
 #include "http/message.h"
 
-namespace radishstep::http
-{
+namespace radishstep::http {
 
 /// Lets another part of the process end a call that is in progress.
 class call_abort
@@ -35,7 +34,8 @@
 };
 
 /// How one call is to be made.
-struct call_options {
+struct call_options
+{
     milliseconds connect_time{1'000};
     milliseconds silence_time{5'000};
     bool fresh_connection = false;
--- a/src/http/event_stream.cpp
+++ b/src/http/event_stream.cpp
@@ -1,10 +1,8 @@
 #include "http/event_stream.h"
 
-namespace radishstep::http
-{
+namespace radishstep::http {
 
-namespace
-{
+namespace {
 
 constexpr std::string_view event_end = "\n\n";
 
--- a/src/http/event_stream.h
+++ b/src/http/event_stream.h
@@ -4,11 +4,11 @@
 #include <string_view>
 #include <vector>
 
-namespace radishstep::http
-{
+namespace radishstep::http {
 
 /// One server-sent event.
-struct server_sent_event {
+struct server_sent_event
+{
     std::string id;
     std::string event;
     std::string data;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -4,8 +4,7 @@
 
 #include <boost/algorithm/string/predicate.hpp>
 
-namespace radishstep::http
-{
+namespace radishstep::http {
 
 std::string_view find_header(const headers& lines, std::string_view name)
 {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -6,11 +6,11 @@
 #include <string_view>
 #include <vector>
 
-namespace radishstep::http
-{
+namespace radishstep::http {
 
 /// One header line.
-struct header {
+struct header
+{
     std::string name;
     std::string value;
 
@@ -23,7 +23,8 @@
 std::string_view find_header(const headers& lines, std::string_view name);
 
 /// A request with its whole body.
-struct request {
+struct request
+{
     std::string method = "GET";
     std::string target = "/";
     headers lines;
@@ -39,7 +40,8 @@
 };
 
 /// A response with its whole body.
-struct response {
+struct response
+{
     unsigned status = 200;
     headers lines;
     std::string body;
@@ -63,7 +65,8 @@
 response json_response(unsigned status, std::string body);
 
 /// What a server takes from a caller before it answers with a typed error.
-struct server_limits {
+struct server_limits
+{
     std::size_t header_bytes = 16UL * 1024;
     std::size_t body_bytes = 1024UL * 1024;
     std::chrono::milliseconds header_time{10'000};
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -20,14 +20,14 @@
 #include "base/metrics.h"
 #include "base/text.h"
 
-namespace radishstep::http
-{
+namespace radishstep::http {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 using boost::system::error_code;
 
-struct server::shared_state {
+struct server::shared_state
+{
     asio::ip::tcp::acceptor listener;
     server_limits limits;
     request_handler handler;
@@ -37,8 +37,7 @@
     bool draining = false;
 };
 
-namespace
-{
+namespace {
 
 using parser_type = beast::http::request_parser<beast::http::string_body>;
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -11,8 +11,7 @@
 #include "base/error.h"
 #include "http/message.h"
 
-namespace radishstep::http
-{
+namespace radishstep::http {
 
 /// The way back to one caller, for one request.
 class reply
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -2,8 +2,7 @@
 
 #include "base/hash.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 std::string_view to_string(member_state state)
 {
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -6,8 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// What the other hosts think of a host. Later values win over earlier ones of the same incarnation.
 enum class member_state { alive = 0, suspect = 1, leaving = 2, dead = 3 };
@@ -16,7 +15,8 @@
 std::string_view to_string(member_state state);
 
 /// One router host.
-struct member {
+struct member
+{
     std::string host;
     std::string zone;
     std::string region;
@@ -37,7 +37,8 @@
 };
 
 /// Who is there: the router hosts, and the IP numbers of all hosts that are leaving.
-struct fleet_view {
+struct fleet_view
+{
     std::vector<member> members;
     std::vector<std::string> leaving;
 
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -4,11 +4,9 @@
 #include <bit>
 #include <utility>
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 /// A change is passed on this many times the logarithm of the member count.
 constexpr int transmissions_factor = 3;
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -11,14 +11,14 @@
 #include "base/runtime_clock.h"
 #include "membership/member.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// What a gossip datagram is for.
 enum class gossip_kind { ping = 0, ack = 1, probe_request = 2, announce = 3 };
 
 /// One gossip datagram, before it is encoded.
-struct gossip {
+struct gossip
+{
     gossip_kind kind = gossip_kind::ping;
     std::int64_t sequence = 0;
     member sender;
@@ -30,7 +30,8 @@
 };
 
 /// A datagram and where it goes.
-struct outgoing_gossip {
+struct outgoing_gossip
+{
     std::string address;
     int port = 0;
     gossip message;
@@ -41,7 +42,8 @@
 using outgoing_gossips = std::vector<outgoing_gossip>;
 
 /// The times and counts of failure detection.
-struct gossip_options {
+struct gossip_options
+{
     runtime_clock::duration probe_period = std::chrono::milliseconds{500};
     runtime_clock::duration ack_time = std::chrono::milliseconds{200};
     runtime_clock::duration suspect_time = std::chrono::milliseconds{1'500};
@@ -93,7 +95,8 @@
     const member& self() const { return this->me; }
 
 private:
-    struct peer {
+    struct peer
+    {
         member record;
         int transmissions_left = 0;
         time_point state_since;
--- a/src/membership/member_wire.cpp
+++ b/src/membership/member_wire.cpp
@@ -3,11 +3,9 @@
 #include "base/hybrid_clock.h"
 #include "wire/generated/radishstep_types.h"
 
-namespace radishstep::wire
-{
+namespace radishstep::wire {
 
-namespace
-{
+namespace {
 
 MemberRecord to_record(const member& known)
 {
--- a/src/membership/member_wire.h
+++ b/src/membership/member_wire.h
@@ -5,8 +5,7 @@
 #include "membership/member.h"
 #include "membership/member_table.h"
 
-namespace radishstep::wire
-{
+namespace radishstep::wire {
 
 class Gossip;
 class View;
--- a/src/platform/claim_store.cpp
+++ b/src/platform/claim_store.cpp
@@ -12,13 +12,11 @@
 #include "base/text.h"
 #include "platform/kv_client.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr milliseconds claim_time{2'000};
 constexpr milliseconds record_time{120'000};
--- a/src/platform/claim_store.h
+++ b/src/platform/claim_store.h
@@ -9,13 +9,13 @@
 #include "base/runtime_clock.h"
 #include "routing/plain_call_machine.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 class kv_client;
 
 /// Who wants to run a non-idempotent call, and under which key.
-struct claim_wish {
+struct claim_wish
+{
     std::string client;
     std::string idempotency_key;
     std::string owner;
--- a/src/platform/host_list_client.cpp
+++ b/src/platform/host_list_client.cpp
@@ -6,8 +6,7 @@
 
 #include "http/client.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
--- a/src/platform/host_list_client.h
+++ b/src/platform/host_list_client.h
@@ -7,16 +7,15 @@
 
 #include "base/error.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace http
-{
+namespace http {
 class client;
 }
 
 /// A host as the platform's lagging list shows it.
-struct listed_host {
+struct listed_host
+{
     std::string host;
     std::string address;
     bool is_router = false;
--- a/src/platform/kv_client.cpp
+++ b/src/platform/kv_client.cpp
@@ -8,13 +8,11 @@
 #include "base/text.h"
 #include "http/client.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr milliseconds call_time{800};
 constexpr unsigned status_ok = 200;
--- a/src/platform/kv_client.h
+++ b/src/platform/kv_client.h
@@ -9,16 +9,15 @@
 #include "base/error.h"
 #include "base/runtime_clock.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace http
-{
+namespace http {
 class client;
 }
 
 /// A stored value and the version that a compare-and-swap names.
-struct kv_entry {
+struct kv_entry
+{
     std::string value;
     std::int64_t modify_index = 0;
 
--- a/src/radishctl/command_context.cpp
+++ b/src/radishctl/command_context.cpp
@@ -3,13 +3,11 @@
 #include <iostream>
 #include <utility>
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr unsigned status_ok = 200;
 
--- a/src/radishctl/command_context.h
+++ b/src/radishctl/command_context.h
@@ -10,11 +10,11 @@
 #include "http/client.h"
 #include "platform/kv_client.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// What radishctl's commands share.
-struct command_context {
+struct command_context
+{
     command_context(boost::asio::io_context& io, const settings_reader& settings, const std::string& key_value,
                     const std::string& broker);
 
--- a/src/radishctl/config_commands.cpp
+++ b/src/radishctl/config_commands.cpp
@@ -15,13 +15,11 @@
 #include "config/config_document.h"
 #include "radishctl/fleet_commands.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr int apply_tries = 10;
 constexpr milliseconds retry_pause{300};
@@ -29,7 +27,8 @@
 constexpr std::int64_t usual_wait_ms = 6'000;
 
 /// The document in force and the version that a compare-and-swap names.
-struct stored_document {
+struct stored_document
+{
     config_document document;
     std::int64_t index = 0;
 };
--- a/src/radishctl/config_commands.h
+++ b/src/radishctl/config_commands.h
@@ -4,8 +4,7 @@
 
 #include "radishctl/command_context.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// These carry out "radishctl config ..."; each returns the exit code.
 int config_check(const command_context& context);
--- a/src/radishctl/fleet_commands.cpp
+++ b/src/radishctl/fleet_commands.cpp
@@ -13,18 +13,17 @@
 #include "base/text.h"
 #include "radishctl/timeline_page.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr unsigned status_accepted = 202;
 
 /// One host of the fleet and its processes' operator ports.
-struct fleet_host {
+struct fleet_host
+{
     std::string host;
     std::string state;
     std::string broker_admin;
--- a/src/radishctl/fleet_commands.h
+++ b/src/radishctl/fleet_commands.h
@@ -8,8 +8,7 @@
 
 #include "radishctl/command_context.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// These carry out the commands that ask running processes; each returns the exit code.
 boost::asio::awaitable<int> fleet_status(command_context& context);
--- a/src/radishctl/main.cpp
+++ b/src/radishctl/main.cpp
@@ -13,8 +13,7 @@
 #include "radishctl/config_commands.h"
 #include "radishctl/fleet_commands.h"
 
-namespace
-{
+namespace {
 
 namespace asio = boost::asio;
 using namespace radishstep;
--- a/src/radishctl/timeline_page.cpp
+++ b/src/radishctl/timeline_page.cpp
@@ -7,11 +7,9 @@
 
 #include "base/hybrid_clock.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 constexpr std::uint64_t us_per_ms = 1'000;
 
@@ -21,7 +19,8 @@
 }
 
 /// The first and the last event of one request at one process.
-struct span {
+struct span
+{
     std::uint64_t first_us = 0;
     std::uint64_t last_us = 0;
 };
--- a/src/radishctl/timeline_page.h
+++ b/src/radishctl/timeline_page.h
@@ -5,8 +5,7 @@
 
 #include "base/event_log.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// Returns one line an event: time, process, kind, request, detail.
 std::string timeline_text(const std::vector<timeline_event>& events);
--- a/src/routing/cell.cpp
+++ b/src/routing/cell.cpp
@@ -3,11 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 using duration = runtime_clock::duration;
 
--- a/src/routing/cell.h
+++ b/src/routing/cell.h
@@ -15,11 +15,11 @@
 #include "routing/permit.h"
 #include "routing/poison_list.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// The figures a cell decides by.
-struct cell_options {
+struct cell_options
+{
     runtime_clock::duration first_token_target = std::chrono::milliseconds{1'100};
     runtime_clock::duration usual_prefill_token = std::chrono::microseconds{100};
     runtime_clock::duration usual_decode_token = std::chrono::milliseconds{20};
@@ -34,7 +34,8 @@
 };
 
 /// What an endpoint said of itself.
-struct endpoint_report {
+struct endpoint_report
+{
     std::string endpoint;
     bool reachable = false;
     bool leaving = false;
@@ -45,7 +46,8 @@
 };
 
 /// An endpoint as a cell sees it, for status pages.
-struct endpoint_view {
+struct endpoint_view
+{
     std::string name;
     endpoint_role role = endpoint_role::prefill;
     bool usable = false;
@@ -109,7 +111,8 @@
     std::vector<endpoint_config> endpoint_configs() const;
 
 private:
-    struct endpoint_state {
+    struct endpoint_state
+    {
         endpoint_state(endpoint_config config, pace_estimate pace) : config(std::move(config)), pace(pace) {}
 
         endpoint_config config;
@@ -124,7 +127,8 @@
         std::set<permit_key> reading;
         std::map<std::string, time_point> uncovered;
     };
-    struct permit_state {
+    struct permit_state
+    {
         permit_ask ask;
         std::string prefill;
         std::string decode;
--- a/src/routing/endpoint_balancer.cpp
+++ b/src/routing/endpoint_balancer.cpp
@@ -2,11 +2,9 @@
 
 #include <utility>
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 constexpr double new_time_weight = 0.2;
 
--- a/src/routing/endpoint_balancer.h
+++ b/src/routing/endpoint_balancer.h
@@ -9,8 +9,7 @@
 #include "base/runtime_clock.h"
 #include "config/site_config.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// Spreads the calls to plain services over their endpoints: the better of two random ones by this
 /// process' own open calls and observed times. An endpoint that failed is left alone for a moment.
@@ -33,7 +32,8 @@
     void set_leaving(std::vector<std::string> addresses);
 
 private:
-    struct record {
+    struct record
+    {
         int open = 0;
         double mean_ms = 1;
         time_point rests_until;
--- a/src/routing/fair_queue.cpp
+++ b/src/routing/fair_queue.cpp
@@ -2,11 +2,9 @@
 
 #include <algorithm>
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 /// How many requests of one client are looked at before the next client's turn.
 constexpr std::size_t lookahead_per_client = 4;
--- a/src/routing/fair_queue.h
+++ b/src/routing/fair_queue.h
@@ -13,11 +13,11 @@
 
 #include "routing/permit.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// A permit request that waits for endpoints.
-struct waiting_ask {
+struct waiting_ask
+{
     permit_ask ask;
     time_point arrived;
     time_point give_up_at;
@@ -27,7 +27,8 @@
 };
 
 /// What would be served before a new request.
-struct queue_ahead {
+struct queue_ahead
+{
     std::size_t count = 0;
     runtime_clock::duration work{};
 
@@ -67,14 +68,16 @@
 private:
     static constexpr std::size_t priorities = 2;
 
-    struct place {
+    struct place
+    {
         client_priority priority;
         time_point give_up_at;
         permit_key key;
 
         auto operator<=>(const place&) const = default;
     };
-    struct client_line {
+    struct client_line
+    {
         std::map<place, waiting_ask> entries;
         std::array<queue_ahead, priorities> totals;
         double virtual_time = 0;
--- a/src/routing/pace_estimate.cpp
+++ b/src/routing/pace_estimate.cpp
@@ -2,11 +2,9 @@
 
 #include <cmath>
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 constexpr double recent_weight = 0.5;
 constexpr double usual_weight = 0.02;
--- a/src/routing/pace_estimate.h
+++ b/src/routing/pace_estimate.h
@@ -2,8 +2,7 @@
 
 #include "base/runtime_clock.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// Estimates an endpoint's time per token from observed times. An endpoint that is slow only for a
 /// moment is not asked much meanwhile, so an old observation fades towards the usual pace.
--- a/src/routing/permit.cpp
+++ b/src/routing/permit.cpp
@@ -1,7 +1,6 @@
 #include "routing/permit.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 std::string job_name(const permit_key& key)
 {
--- a/src/routing/permit.h
+++ b/src/routing/permit.h
@@ -9,11 +9,11 @@
 #include "base/runtime_clock.h"
 #include "config/site_config.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// Names one try of one request.
-struct permit_key {
+struct permit_key
+{
     std::string request;
     int attempt = 1;
 
@@ -27,7 +27,8 @@
 std::string host_of_request(const std::string& request);
 
 /// What an entry process asks of a cell's broker.
-struct permit_ask {
+struct permit_ask
+{
     permit_key key;
     std::string holder;
     std::string client;
@@ -44,7 +45,8 @@
 };
 
 /// A permit as its holder knows it.
-struct open_permit {
+struct open_permit
+{
     permit_ask ask;
     std::string prefill;
     std::string decode;
@@ -54,7 +56,8 @@
 };
 
 /// The end of a permit, with what was seen during its use. Zero means not observed.
-struct permit_release {
+struct permit_release
+{
     permit_key key;
     std::string holder;
     runtime_clock::duration prefill_time{};
@@ -69,7 +72,8 @@
 };
 
 /// The request may use these endpoints.
-struct permit_grant {
+struct permit_grant
+{
     permit_key key;
     std::string holder;
     std::string prefill;
@@ -79,7 +83,8 @@
 };
 
 /// The request was not run and will not be.
-struct permit_refusal {
+struct permit_refusal
+{
     permit_key key;
     std::string holder;
     error_kind kind = error_kind::overloaded;
@@ -89,7 +94,8 @@
 };
 
 /// An endpoint is to drop a job that no permit covers.
-struct job_cancel {
+struct job_cancel
+{
     std::string endpoint;
     std::string job;
 
--- a/src/routing/permit_wire.cpp
+++ b/src/routing/permit_wire.cpp
@@ -2,11 +2,9 @@
 
 #include "wire/generated/radishstep_types.h"
 
-namespace radishstep::wire
-{
+namespace radishstep::wire {
 
-namespace
-{
+namespace {
 
 using duration = runtime_clock::duration;
 
--- a/src/routing/permit_wire.h
+++ b/src/routing/permit_wire.h
@@ -3,8 +3,7 @@
 #include "routing/permit.h"
 #include "routing/poison_list.h"
 
-namespace radishstep::wire
-{
+namespace radishstep::wire {
 
 class PermitRequest;
 class Grant;
--- a/src/routing/plain_call_machine.cpp
+++ b/src/routing/plain_call_machine.cpp
@@ -1,10 +1,8 @@
 #include "routing/plain_call_machine.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 namespace event = plain_event;
 namespace effect = plain_effect;
--- a/src/routing/plain_call_machine.h
+++ b/src/routing/plain_call_machine.h
@@ -7,8 +7,7 @@
 
 #include "base/error.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// Where a call to a plain service stands.
 enum class plain_phase { claiming, calling, ended };
@@ -17,7 +16,8 @@
 enum class claim_status { in_progress, answered, not_run };
 
 /// The recorded outcome of a non-idempotent call.
-struct claim_record {
+struct claim_record
+{
     std::string owner;
     std::string fingerprint;
     claim_status status = claim_status::in_progress;
@@ -29,7 +29,8 @@
 };
 
 /// The state of one call to a plain service; a value.
-struct plain_state {
+struct plain_state
+{
     plain_phase phase = plain_phase::calling;
     bool non_idempotent = false;
     std::string fingerprint;
@@ -40,35 +41,41 @@
     bool operator==(const plain_state&) const = default;
 };
 
-namespace plain_event
-{
+namespace plain_event {
 
 /// The claim is ours: nobody else may run the call.
-struct claimed {
+struct claimed
+{
     bool operator==(const claimed&) const = default;
 };
-struct claim_taken {
+struct claim_taken
+{
     claim_record record;
     bool operator==(const claim_taken&) const = default;
 };
-struct claim_failed {
+struct claim_failed
+{
     bool operator==(const claim_failed&) const = default;
 };
-struct answered {
+struct answered
+{
     unsigned http_status;
     std::string content_type;
     std::string body;
     bool operator==(const answered&) const = default;
 };
-struct call_failed {
+struct call_failed
+{
     std::string endpoint;
     bool was_sent;
     bool operator==(const call_failed&) const = default;
 };
-struct no_endpoint {
+struct no_endpoint
+{
     bool operator==(const no_endpoint&) const = default;
 };
-struct caller_left {
+struct caller_left
+{
     bool operator==(const caller_left&) const = default;
 };
 
@@ -76,29 +83,33 @@
 
 } // namespace plain_event
 
-namespace plain_effect
-{
+namespace plain_effect {
 
-struct create_claim {
+struct create_claim
+{
     bool operator==(const create_claim&) const = default;
 };
-struct call_endpoint {
+struct call_endpoint
+{
     std::vector<std::string> avoid;
     bool operator==(const call_endpoint&) const = default;
 };
 /// Write the outcome into the claim; failures are retried in the background.
-struct record_outcome {
+struct record_outcome
+{
     claim_record record;
     bool operator==(const record_outcome&) const = default;
 };
-struct send_answer {
+struct send_answer
+{
     unsigned http_status;
     std::string content_type;
     std::string body;
     bool is_replay;
     bool operator==(const send_answer&) const = default;
 };
-struct refuse_call {
+struct refuse_call
+{
     error reason;
     bool may_have_run;
     bool operator==(const refuse_call&) const = default;
--- a/src/routing/poison_list.cpp
+++ b/src/routing/poison_list.cpp
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 
-namespace radishstep
-{
+namespace radishstep {
 
 int poison_list::strike(std::uint64_t fingerprint, time_point now)
 {
--- a/src/routing/poison_list.h
+++ b/src/routing/poison_list.h
@@ -6,11 +6,11 @@
 
 #include "base/runtime_clock.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// How many endpoints stopped while they ran a prompt.
-struct poison_strike {
+struct poison_strike
+{
     std::uint64_t fingerprint = 0;
     int deaths = 0;
 
@@ -42,7 +42,8 @@
     std::vector<poison_strike> entries(time_point now) const;
 
 private:
-    struct entry {
+    struct entry
+    {
         int deaths = 0;
         time_point last;
     };
--- a/src/routing/request_machine.cpp
+++ b/src/routing/request_machine.cpp
@@ -1,10 +1,8 @@
 #include "routing/request_machine.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
-namespace
-{
+namespace {
 
 namespace event = request_event;
 namespace effect = request_effect;
--- a/src/routing/request_machine.h
+++ b/src/routing/request_machine.h
@@ -8,8 +8,7 @@
 
 #include "base/error.h"
 
-namespace radishstep
-{
+namespace radishstep {
 
 /// Where a model request stands.
 enum class request_phase { waiting, prefilling, decoding, ended };
@@ -32,7 +31,8 @@
 std::string_view to_string(call_failure failure);
 
 /// How often a request may be tried before it is refused.
-struct retry_budget {
+struct retry_budget
+{
     int attempts = 3;
     int resumes_per_attempt = 2;
     int deaths = 2;
@@ -41,7 +41,8 @@
 };
 
 /// The state of one model request; a value.
-struct request_state {
+struct request_state
+{
     request_phase phase = request_phase::waiting;
     retry_budget budget;
     int attempt = 1;
@@ -57,49 +58,57 @@
     bool operator==(const request_state&) const = default;
 };
 
-namespace request_event
-{
+namespace request_event {
 
-struct granted {
+struct granted
+{
     int attempt;
     std::string prefill;
     std::string decode;
     bool operator==(const granted&) const = default;
 };
-struct refused {
+struct refused
+{
     int attempt;
     error reason;
     bool operator==(const refused&) const = default;
 };
-struct prefilled {
+struct prefilled
+{
     int attempt;
     bool operator==(const prefilled&) const = default;
 };
-struct prefill_failed {
+struct prefill_failed
+{
     int attempt;
     call_failure failure;
     bool operator==(const prefill_failed&) const = default;
 };
-struct token_arrived {
+struct token_arrived
+{
     int attempt;
     int offset;
     std::string text;
     bool operator==(const token_arrived&) const = default;
 };
-struct answer_ended {
+struct answer_ended
+{
     int attempt;
     int total_tokens;
     bool operator==(const answer_ended&) const = default;
 };
-struct decode_failed {
+struct decode_failed
+{
     int attempt;
     call_failure failure;
     bool operator==(const decode_failed&) const = default;
 };
-struct caller_left {
+struct caller_left
+{
     bool operator==(const caller_left&) const = default;
 };
-struct deadline_passed {
+struct deadline_passed
+{
     bool operator==(const deadline_passed&) const = default;
 };
 
@@ -108,34 +117,38 @@
 
 } // namespace request_event
 
-namespace request_effect
-{
+namespace request_effect {
 
 /// Ask the cell's broker for endpoints.
-struct ask_permit {
+struct ask_permit
+{
     int attempt;
     std::vector<std::string> avoid;
     bool operator==(const ask_permit&) const = default;
 };
 /// Give the permit, or the wish for one, back.
-struct release_permit {
+struct release_permit
+{
     int attempt;
     std::vector<std::string> failed;
     std::vector<std::string> died;
     bool operator==(const release_permit&) const = default;
 };
 /// Tell the broker that the prefill endpoint is free.
-struct report_prefilled {
+struct report_prefilled
+{
     int attempt;
     bool operator==(const report_prefilled&) const = default;
 };
-struct start_prefill {
+struct start_prefill
+{
     int attempt;
     std::string endpoint;
     bool operator==(const start_prefill&) const = default;
 };
 /// Start or resume the stream at the decode endpoint, from `offset`.
-struct start_decode {
+struct start_decode
+{
     int attempt;
     std::string endpoint;
     std::string source;
@@ -143,21 +156,25 @@
     bool resume;
     bool operator==(const start_decode&) const = default;
 };
-struct cancel_at {
+struct cancel_at
+{
     int attempt;
     std::string endpoint;
     bool operator==(const cancel_at&) const = default;
 };
-struct relay_token {
+struct relay_token
+{
     std::string text;
     bool operator==(const relay_token&) const = default;
 };
-struct finish_answer {
+struct finish_answer
+{
     int total_tokens;
     bool operator==(const finish_answer&) const = default;
 };
 /// End the request with a refusal; `may_have_run` is false only when no endpoint was called.
-struct refuse_request {
+struct refuse_request
+{
     error reason;
     bool may_have_run;
     bool operator==(const refuse_request&) const = default;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -7,11 +7,9 @@
 
 #include "wire/generated/radishstep_types.h"
 
-namespace radishstep::wire
-{
+namespace radishstep::wire {
 
-namespace
-{
+namespace {
 
 using apache::thrift::TConfiguration;
 using apache::thrift::protocol::TCompactProtocolT;
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -5,8 +5,7 @@
 
 #include "base/error.h"
 
-namespace radishstep::wire
-{
+namespace radishstep::wire {
 
 class Message;
 class Gossip;
--- a/src/wire/frame_link.cpp
+++ b/src/wire/frame_link.cpp
@@ -17,13 +17,11 @@
 #include "wire/codec.h"
 #include "wire/generated/radishstep_types.h"
 
-namespace radishstep::wire
-{
+namespace radishstep::wire {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 /// Each frame starts with the length of its body and the sender's hybrid clock, both big-endian.
 constexpr std::size_t length_bytes = sizeof(std::uint32_t);
--- a/src/wire/frame_link.h
+++ b/src/wire/frame_link.h
@@ -11,8 +11,7 @@
 
 #include "base/runtime_clock.h"
 
-namespace radishstep::wire
-{
+namespace radishstep::wire {
 
 class Message;
 
--- a/tests/demo/main.cpp
+++ b/tests/demo/main.cpp
@@ -8,8 +8,7 @@
 
 #include "site.h"
 
-namespace
-{
+namespace {
 
 using namespace radishstep;
 using namespace radishstep::testing;
--- a/tests/standins/answers.cpp
+++ b/tests/standins/answers.cpp
@@ -4,8 +4,7 @@
 
 #include "base/hash.h"
 
-namespace radishstep::standin
-{
+namespace radishstep::standin {
 
 std::string answer_token(const std::string& prompt, int index)
 {
--- a/tests/standins/answers.h
+++ b/tests/standins/answers.h
@@ -2,8 +2,7 @@
 
 #include <string>
 
-namespace radishstep::standin
-{
+namespace radishstep::standin {
 
 /// Returns the token at `index` of the answer that every stand-in engine gives to `prompt`.
 std::string answer_token(const std::string& prompt, int index);
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -11,13 +11,11 @@
 #include "answers.h"
 #include "standin_server.h"
 
-namespace radishstep::standin
-{
+namespace radishstep::standin {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr milliseconds poll_time{2};
 constexpr std::chrono::seconds finished_linger{2};
@@ -35,11 +33,6 @@
     return json_answer(404, {{"error", "no such path"}});
 }
 
-std::string request_of(const std::string& job)
-{
-    return job.substr(0, job.rfind('.'));
-}
-
 } // namespace
 
 engine::engine(asio::any_io_executor executor, engine_options options)
@@ -75,7 +68,7 @@
     const auto body = parse_body(asked);
     const std::string job = body.value("job", "");
     const std::string prompt = body.value("prompt", "");
-    this->seen_requests.insert(request_of(job));
+    this->note_seen(job);
     this->crash_if_poisoned(prompt);
     ++this->waiting;
     while (static_cast<int>(this->reading.size()) >= this->options.slots)
@@ -128,7 +121,7 @@
     const auto body = parse_body(asked);
     const std::string name = body.value("job", "");
     const int offset = body.value("offset", 0);
-    this->seen_requests.insert(request_of(name));
+    this->note_seen(name);
     const auto known = this->jobs.find(name);
     if (known != this->jobs.end()) {
         const auto job = known->second;
@@ -259,7 +252,6 @@
                              {"leaving", this->leaving},
                              {"jobs", held},
                              {"late_load", this->load_history.front().second},
-                             {"seen", this->seen_requests},
                              {"prefill_tokens", this->prefill_tokens},
                              {"wasted_prefill_tokens", this->wasted_prefill_tokens},
                              {"decode_tokens", this->decode_tokens},
@@ -294,6 +286,11 @@
         _exit(3);
 }
 
+void engine::note_seen(const std::string& job) const
+{
+    append_line(this->options.seen_log, std::to_string(wall_clock_ms()) + " " + job);
+}
+
 void engine::drop_expired()
 {
     const time_point now = runtime_clock::now();
--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -15,11 +15,11 @@
 #include "http/client.h"
 #include "http/server.h"
 
-namespace radishstep::standin
-{
+namespace radishstep::standin {
 
 /// The figures of a stand-in engine.
-struct engine_options {
+struct engine_options
+{
     bool is_prefill = true;
     int slots = 1;
     std::chrono::microseconds prefill_token{100};
@@ -28,6 +28,8 @@
     milliseconds evict_time{1'000};
     milliseconds load_lag{1'000};
     bool checks_fence = true;
+    /// Where each job is written down before any work for it; survives the process.
+    std::string seen_log;
 };
 
 /// An engine that reads prompts or writes answers, in real time but without a model. docs/ENDPOINTS.md
@@ -40,7 +42,8 @@
     boost::asio::awaitable<void> handle(const http::request& asked, http::reply& reply);
 
 private:
-    struct decode_job {
+    struct decode_job
+    {
         std::string prompt;
         std::vector<std::string> tokens;
         int first = 0;
@@ -49,7 +52,8 @@
         bool cancelled = false;
         time_point ended_at;
     };
-    struct prefill_result {
+    struct prefill_result
+    {
         std::string prompt;
         int tokens = 0;
         time_point expires_at;
@@ -66,6 +70,7 @@
     http::response take_order(const http::request& asked);
     http::response set_fault(const http::request& asked);
     void crash_if_poisoned(const std::string& prompt) const;
+    void note_seen(const std::string& job) const;
     void drop_expired();
     int slow_factor() const;
 
@@ -78,7 +83,6 @@
     std::map<std::string, std::shared_ptr<decode_job>> jobs;
     std::set<std::string> reading;
     std::set<std::string> cancelled;
-    std::set<std::string> seen_requests;
     std::deque<std::pair<time_point, int>> load_history;
     std::map<std::string, int> cached_prefixes;
     int waiting = 0;
--- a/tests/standins/engine_main.cpp
+++ b/tests/standins/engine_main.cpp
@@ -14,6 +14,7 @@
     options.transfer_token = std::chrono::microseconds{flag(argc, argv, "transfer-us", 5)};
     options.evict_time = radishstep::milliseconds{flag(argc, argv, "evict-ms", 1'000)};
     options.checks_fence = flag(argc, argv, "checks-fence", 1) == 1;
+    options.seen_log = flag(argc, argv, "seen-log", std::string{});
     boost::asio::io_context context{1};
     engine machine{context.get_executor(), options};
     return serve(context, flag(argc, argv, "listen", "127.0.0.1:9000"),
--- a/tests/standins/plain_service.cpp
+++ b/tests/standins/plain_service.cpp
@@ -8,8 +8,7 @@
 
 #include "standin_server.h"
 
-namespace
-{
+namespace {
 
 namespace asio = boost::asio;
 using namespace radishstep;
@@ -20,6 +19,8 @@
 class plain_service
 {
 public:
+    explicit plain_service(std::string run_log) : run_log(std::move(run_log)) {}
+
     asio::awaitable<void> handle(const http::request& asked, http::reply& reply)
     {
         const std::string path{asked.path()};
@@ -48,6 +49,9 @@
         ++this->calls;
         if (asked.body.find("CRASH-SERVICE") != std::string::npos)
             _exit(3);
+        append_line(this->run_log, std::to_string(wall_clock_ms()) + " " +
+                                       std::string{http::find_header(asked.lines, "X-Request-Id")} + " " +
+                                       std::string{http::find_header(asked.lines, "Idempotency-Key")});
         const std::string key{http::find_header(asked.lines, "Idempotency-Key")};
         if (!key.empty())
             ++this->runs[key];
@@ -59,6 +63,7 @@
         co_await reply.send(answer);
     }
 
+    std::string run_log;
     std::map<std::string, int> runs;
     std::int64_t calls = 0;
     milliseconds delay{0};
@@ -69,7 +74,7 @@
 int main(int argc, char** argv)
 {
     asio::io_context context{1};
-    plain_service service;
+    plain_service service{flag(argc, argv, "run-log", std::string{})};
     return serve(context, flag(argc, argv, "listen", "127.0.0.1:9100"),
                  [&service](const auto& asked, auto& reply) { return service.handle(asked, reply); });
 }
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -7,8 +7,7 @@
 #include "base/text.h"
 #include "standin_server.h"
 
-namespace
-{
+namespace {
 
 namespace asio = boost::asio;
 using namespace radishstep;
@@ -55,7 +54,8 @@
     }
 
 private:
-    struct entry {
+    struct entry
+    {
         std::string value;
         std::int64_t index = 0;
     };
--- a/tests/standins/standin_server.cpp
+++ b/tests/standins/standin_server.cpp
@@ -1,5 +1,8 @@
 #include "standin_server.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <cstdlib>
 #include <iostream>
 
@@ -8,8 +11,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-namespace radishstep::standin
-{
+namespace radishstep::standin {
 
 namespace asio = boost::asio;
 
@@ -51,6 +53,17 @@
     return json.is_object() ? json : nlohmann::json::object();
 }
 
+void append_line(const std::string& path, const std::string& line)
+{
+    if (path.empty())
+        return;
+    const int file = open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    const std::string text = line + "\n";
+    if (write(file, text.data(), text.size()) < 0)
+        std::cerr << "cannot write " << path << "\n";
+    close(file);
+}
+
 std::string flag(int argc, char** argv, const std::string& name, const std::string& fallback)
 {
     const std::string prefix = "--" + name + "=";
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -6,13 +6,11 @@
 
 #include "http/event_stream.h"
 
-namespace radishstep::testing
-{
+namespace radishstep::testing {
 
 namespace asio = boost::asio;
 
-namespace
-{
+namespace {
 
 constexpr std::chrono::seconds patience{60};
 
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -12,11 +12,11 @@
 #include "base/runtime_clock.h"
 #include "http/client.h"
 
-namespace radishstep::testing
-{
+namespace radishstep::testing {
 
 /// What a caller saw of one call.
-struct call_outcome {
+struct call_outcome
+{
     unsigned status = 0;
     std::string text;
     std::string error_kind;
@@ -30,7 +30,8 @@
 };
 
 /// What a caller asks for.
-struct call_wish {
+struct call_wish
+{
     std::string address;
     std::string key = "coach-key";
     std::string model = "gala-notes";
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -12,8 +12,7 @@
 #include <thread>
 #include <utility>
 
-namespace radishstep::testing
-{
+namespace radishstep::testing {
 
 process::process(const std::string& program, const std::vector<std::string>& arguments, const std::string& log_file)
 {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -5,8 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace radishstep::testing
-{
+namespace radishstep::testing {
 
 /// A process that a test started. It ends with this object at the latest.
 class process
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -14,11 +14,9 @@
 
 #include "base/hash.h"
 
-namespace radishstep::testing
-{
+namespace radishstep::testing {
 
-namespace
-{
+namespace {
 
 constexpr int first_engine_ip = 20;
 constexpr int first_service_ip = 120;
@@ -102,12 +100,13 @@
                "--slots=" + std::to_string(reads ? 1 : this->options.decode_slots),
                "--prefill-us=" + std::to_string(this->options.prefill_us),
                "--decode-us=" + std::to_string(this->options.decode_us),
-               "--transfer-us=" + std::to_string(this->options.transfer_us)});
+               "--transfer-us=" + std::to_string(this->options.transfer_us), "--seen-log=" + this->seen_log(name)});
 }
 
 void site::start_service(const std::string& name)
 {
-    this->run(name, "standin-service", {"--listen=" + this->service_address(name)});
+    this->run(name, "standin-service",
+              {"--listen=" + this->service_address(name), "--run-log=" + this->seen_log(name)});
 }
 
 void site::start_broker(int host)
@@ -131,6 +130,11 @@
                "--drain-notice-ms=" + std::to_string(this->options.drain_notice_ms)});
 }
 
+std::string site::seen_log(const std::string& endpoint) const
+{
+    return this->directory + "/" + endpoint + ".seen";
+}
+
 process& site::at(const std::string& name)
 {
     return *this->processes.at(name);
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -8,11 +8,11 @@
 #include "caller.h"
 #include "process.h"
 
-namespace radishstep::testing
-{
+namespace radishstep::testing {
 
 /// The size of a site and the figures of its stand-ins.
-struct site_options {
+struct site_options
+{
     int hosts = 2;
     int prefill = 2;
     int decode = 2;
@@ -57,6 +57,9 @@
     std::string engine_address(const std::string& name) const;
     std::string service_address(const std::string& name) const;
     std::string platform_address() const;
+    /// Returns the file in which an endpoint writes down what it ran, a line "ms job" or "ms request key".
+    std::string seen_log(const std::string& endpoint) const;
+
     std::vector<std::string> engines() const;
     std::vector<std::string> services() const;
 
--- /dev/null
+++ b/tests/unit/test_base.cpp
@@ -0,0 +1,219 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+
+#include <boost/asio/io_context.hpp>
+
+#include "base/bounded_ring.h"
+#include "base/event_log.h"
+#include "base/hash.h"
+#include "base/hybrid_clock.h"
+#include "base/runtime_clock.h"
+#include "base/settings.h"
+#include "base/supervisor.h"
+#include "base/text.h"
+
+namespace {
+
+using namespace radishstep;
+using namespace std::chrono_literals;
+
+class test_base : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(test_base);
+    CPPUNIT_TEST(paused_clock_moves_only_when_advanced);
+    CPPUNIT_TEST(timers_follow_the_paused_clock);
+    CPPUNIT_TEST(hybrid_clock_never_runs_behind_a_peer);
+    CPPUNIT_TEST(full_ring_refuses);
+    CPPUNIT_TEST(ring_wakes_when_it_stops_being_empty);
+    CPPUNIT_TEST(event_log_is_bounded_and_searchable);
+    CPPUNIT_TEST(broken_event_lines_are_left_out);
+    CPPUNIT_TEST(base64_round_trip_and_bad_input);
+    CPPUNIT_TEST(utf8_is_checked);
+    CPPUNIT_TEST(integers_are_whole_or_nothing);
+    CPPUNIT_TEST(rendezvous_moves_only_the_lost_hosts_keys);
+    CPPUNIT_TEST(sha256_matches_the_standard);
+    CPPUNIT_TEST(failed_duty_is_started_again);
+    CPPUNIT_TEST(supervisor_gives_up_past_its_limit);
+    CPPUNIT_TEST(settings_come_from_flags_then_environment);
+    CPPUNIT_TEST(bad_settings_name_the_remedy);
+    CPPUNIT_TEST_SUITE_END();
+
+    void paused_clock_moves_only_when_advanced()
+    {
+        runtime_clock::pause();
+        const time_point before = runtime_clock::now();
+        CPPUNIT_ASSERT(runtime_clock::now() == before);
+        runtime_clock::advance(5s);
+        CPPUNIT_ASSERT(runtime_clock::now() == before + 5s);
+        runtime_clock::resume();
+        CPPUNIT_ASSERT(runtime_clock::now() >= before + 5s);
+    }
+
+    void timers_follow_the_paused_clock()
+    {
+        runtime_clock::pause();
+        boost::asio::io_context context;
+        timer alarm{context};
+        bool rang = false;
+        alarm.expires_after(1h);
+        alarm.async_wait([&rang](auto) { rang = true; });
+        context.run_for(5ms);
+        CPPUNIT_ASSERT(!rang);
+        runtime_clock::advance(1h);
+        context.restart();
+        context.run();
+        runtime_clock::resume();
+        CPPUNIT_ASSERT(rang);
+    }
+
+    void hybrid_clock_never_runs_behind_a_peer()
+    {
+        hybrid_clock clock;
+        const std::uint64_t first = clock.next();
+        const std::uint64_t peer = first + (1'000ULL << hybrid_clock::counter_bits);
+        clock.observe(peer);
+        CPPUNIT_ASSERT(clock.next() > peer);
+    }
+
+    void full_ring_refuses()
+    {
+        bounded_ring<int> ring{2};
+        CPPUNIT_ASSERT(ring.push(1));
+        CPPUNIT_ASSERT(ring.push(2));
+        CPPUNIT_ASSERT(!ring.push(3));
+        CPPUNIT_ASSERT_EQUAL(1, *ring.pop());
+        CPPUNIT_ASSERT_EQUAL(2, *ring.pop());
+        CPPUNIT_ASSERT(!ring.pop());
+    }
+
+    void ring_wakes_when_it_stops_being_empty()
+    {
+        bounded_ring<int> ring{4};
+        int wakes = 0;
+        ring.on_wake([&wakes] { ++wakes; });
+        ring.push(1);
+        ring.push(2);
+        CPPUNIT_ASSERT_EQUAL(1, wakes);
+        ring.pop();
+        ring.pop();
+        ring.push(3);
+        CPPUNIT_ASSERT_EQUAL(2, wakes);
+    }
+
+    void event_log_is_bounded_and_searchable()
+    {
+        event_log log{3};
+        log.name_process("p");
+        for (int i = 0; i < 5; ++i)
+            log.record("k" + std::to_string(i), i % 2 == 0 ? "even" : "odd", "");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, log.find({}).size());
+        const auto found = log.find({0, "even", 10});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, found.size());
+        CPPUNIT_ASSERT(from_json_lines(to_json_lines(found)) == found);
+    }
+
+    void broken_event_lines_are_left_out()
+    {
+        CPPUNIT_ASSERT(from_json_lines("nonsense\n[]\n{\"a\":1}\n").empty());
+    }
+
+    void base64_round_trip_and_bad_input()
+    {
+        for (const std::string& bytes : {std::string{}, std::string{"a"}, std::string{"ab"}, std::string{"a\0c", 3}})
+            CPPUNIT_ASSERT(from_base64(to_base64(bytes)) == bytes);
+        CPPUNIT_ASSERT(!from_base64("abc"));
+        CPPUNIT_ASSERT(!from_base64("a?=="));
+    }
+
+    void utf8_is_checked()
+    {
+        CPPUNIT_ASSERT(is_utf8("Plaveck\xc3\xbd"));
+        CPPUNIT_ASSERT(!is_utf8("\xc3"));
+        CPPUNIT_ASSERT(!is_utf8("\xed\xa0\x80"));
+    }
+
+    void integers_are_whole_or_nothing()
+    {
+        CPPUNIT_ASSERT(to_integer("-12") == -12);
+        CPPUNIT_ASSERT(!to_integer("12x"));
+        CPPUNIT_ASSERT(!to_integer(""));
+        CPPUNIT_ASSERT(!to_integer("99999999999999999999"));
+    }
+
+    void rendezvous_moves_only_the_lost_hosts_keys()
+    {
+        const std::vector<std::string> all{"a", "b", "c", "d"};
+        const std::vector<std::string> without_b{"a", "c", "d"};
+        for (int i = 0; i < 200; ++i) {
+            const std::string key = "cell-" + std::to_string(i);
+            const std::string winner = rendezvous_winner(key, all);
+            if (winner != "b")
+                CPPUNIT_ASSERT_EQUAL(winner, rendezvous_winner(key, without_b));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{}, rendezvous_winner("x", {}));
+    }
+
+    void sha256_matches_the_standard()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{"ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"},
+                             sha256_hex("abc"));
+    }
+
+    void failed_duty_is_started_again()
+    {
+        std::atomic<int> runs{0};
+        supervisor root{"test"};
+        root.add_duty(
+            "flaky",
+            [&runs] {
+                if (++runs < 3)
+                    throw std::runtime_error("first tries fail");
+            },
+            [] {});
+        root.start();
+        root.stop();
+        CPPUNIT_ASSERT_EQUAL(3, runs.load());
+    }
+
+    void supervisor_gives_up_past_its_limit()
+    {
+        std::string given_up;
+        {
+            supervisor root{"test"};
+            root.on_give_up([&given_up](const std::string& duty) { given_up = duty; });
+            supervisor& child = root.add_child("child", {2, 10s});
+            child.add_duty(
+                "broken", [] { throw std::runtime_error("always"); }, [] {});
+            root.start();
+            root.stop();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{"broken"}, given_up);
+    }
+
+    void settings_come_from_flags_then_environment()
+    {
+        const char* const arguments[] = {"program", "--alpha", "flag"};
+        setenv("RADISHSTEP_ALPHA", "environment", 1);
+        setenv("RADISHSTEP_BETA_GAMMA", "12", 1);
+        auto reader = settings_reader::parse("Usage: program [--alpha=X] [--beta-gamma=N]", 3, arguments);
+        CPPUNIT_ASSERT(reader);
+        CPPUNIT_ASSERT_EQUAL(std::string{"flag"}, reader->text("--alpha", "default"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{12}, reader->number("--beta-gamma", 1, 0, 100));
+        CPPUNIT_ASSERT(reader->verdict());
+    }
+
+    void bad_settings_name_the_remedy()
+    {
+        const char* const arguments[] = {"program", "--count", "many"};
+        auto reader = settings_reader::parse("Usage: program [--count=N] [--name=X]", 3, arguments);
+        reader->number("--count", 1, 0, 100);
+        CPPUNIT_ASSERT(!reader->verdict());
+        CPPUNIT_ASSERT_EQUAL(std::string{"give a whole number from 0 to 100"}, reader->verdict().error().remedy);
+        const char* const unknown[] = {"program", "--what"};
+        CPPUNIT_ASSERT(!settings_reader::parse("Usage: program [--count=N]", 2, unknown));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_base);
+
+} // namespace
--- /dev/null
+++ b/tests/unit/test_completion_api.cpp
@@ -0,0 +1,106 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "entry/completion_api.h"
+#include "entry/entry_settings.h"
+#include "http/event_stream.h"
+#include "http/message.h"
+#include "platform/claim_store.h"
+
+namespace {
+
+using namespace radishstep;
+
+class test_completion_api : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(test_completion_api);
+    CPPUNIT_TEST(good_requests_are_read);
+    CPPUNIT_TEST(bad_requests_are_typed);
+    CPPUNIT_TEST(refusals_say_whether_the_request_ran);
+    CPPUNIT_TEST(event_stream_is_split_at_any_byte);
+    CPPUNIT_TEST(endless_event_is_dropped);
+    CPPUNIT_TEST(queries_are_read);
+    CPPUNIT_TEST(claims_survive_json_and_nonsense);
+    CPPUNIT_TEST(entry_settings_are_checked);
+    CPPUNIT_TEST_SUITE_END();
+
+    void good_requests_are_read()
+    {
+        const auto plain = parse_completion(R"({"model":"m","prompt":"p","stream":true,"max_tokens":5})", false);
+        CPPUNIT_ASSERT(plain && plain->stream && plain->max_tokens == 5);
+        const auto chat = parse_completion(R"({"model":"m","messages":[{"role":"user","content":"hi"}]})", true);
+        CPPUNIT_ASSERT(chat && chat->prompt == "user: hi\n");
+    }
+
+    void bad_requests_are_typed()
+    {
+        for (const char* const body :
+             {"", "{", "[]", "{}", R"({"model":1,"prompt":"p"})", R"({"model":"m"})", R"({"model":"m","prompt":""})",
+              R"({"model":"m","prompt":"p","max_tokens":0})", R"({"model":"m","prompt":"p","max_tokens":"x"})",
+              R"({"model":"m","prompt":"p","stream":"yes"})", R"({"model":"m","prompt":"p","priority":"now"})"}) {
+            const auto parsed = parse_completion(body, false);
+            CPPUNIT_ASSERT_MESSAGE(body, !parsed);
+            CPPUNIT_ASSERT_MESSAGE(body, parsed.error().kind == error_kind::bad_request);
+            CPPUNIT_ASSERT_MESSAGE(body, !parsed.error().remedy.empty());
+        }
+        CPPUNIT_ASSERT(parse_completion("{\"model\":\"\xff\"}", false).error().kind == error_kind::bad_text);
+        CPPUNIT_ASSERT(!parse_completion(R"({"model":"m","messages":[{"role":"user"}]})", true));
+    }
+
+    void refusals_say_whether_the_request_ran()
+    {
+        const error reason{error_kind::overloaded, "full", "wait"};
+        const http::response answer = refusal_response(reason, false, "r", 2);
+        CPPUNIT_ASSERT_EQUAL(503U, answer.status);
+        CPPUNIT_ASSERT(answer.body.find(R"("ran":"not_run")") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, std::string{http::find_header(answer.lines, "retry-after")});
+    }
+
+    void event_stream_is_split_at_any_byte()
+    {
+        const std::string text = "id: 0\ndata: \"a\"\n\nevent: end\ndata: {}\n\n";
+        for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+            http::event_stream_reader reader;
+            auto events = reader.push(std::string_view{text}.substr(0, cut));
+            const auto more = reader.push(std::string_view{text}.substr(cut));
+            events.insert(events.end(), more.begin(), more.end());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, events.size());
+            CPPUNIT_ASSERT_EQUAL(std::string{"\"a\""}, events.at(0).data);
+            CPPUNIT_ASSERT_EQUAL(std::string{"end"}, events.at(1).event);
+        }
+    }
+
+    void endless_event_is_dropped()
+    {
+        http::event_stream_reader reader;
+        reader.push(std::string(http::event_stream_reader::max_event_bytes + 1, 'x'));
+        CPPUNIT_ASSERT(reader.has_failed());
+    }
+
+    void queries_are_read()
+    {
+        const http::request asked = http::get_request("/a/b?x=1&y=&z");
+        CPPUNIT_ASSERT_EQUAL(std::string{"/a/b"}, std::string{asked.path()});
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, std::string{asked.query("x")});
+        CPPUNIT_ASSERT(asked.query("y").empty() && asked.query("z").empty() && asked.query("none").empty());
+    }
+
+    void claims_survive_json_and_nonsense()
+    {
+        const claim_record record{"o", "f", claim_status::answered, 200, "text/plain", std::string{"a\0b", 3}};
+        CPPUNIT_ASSERT(parse_claim(to_json(record)) == record);
+        CPPUNIT_ASSERT(parse_claim("nonsense") == claim_record{});
+        CPPUNIT_ASSERT(parse_claim(R"({"body":"?"})").body.empty());
+    }
+
+    void entry_settings_are_checked()
+    {
+        const char* const missing[] = {"radishstep-entry", "--host=h"};
+        CPPUNIT_ASSERT(read_entry_settings(2, missing).error().message == "--zone is not set");
+        const char* const bad[] = {"radishstep-entry", "--host=h",  "--zone=z",
+                                   "--region=r",       "--site=s",  "--listen=nowhere"};
+        CPPUNIT_ASSERT(read_entry_settings(6, bad).error().kind == error_kind::bad_setting);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_completion_api);
+
+} // namespace
--- /dev/null
+++ b/tests/unit/test_membership.cpp
@@ -0,0 +1,175 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "membership/member_table.h"
+#include "membership/member_wire.h"
+#include "wire/codec.h"
+#include "wire/generated/radishstep_types.h"
+
+namespace {
+
+using namespace radishstep;
+using namespace std::chrono_literals;
+
+/// A few member tables whose datagrams are carried by the test; stopped hosts hear nothing.
+class fleet {
+public:
+    explicit fleet(int size)
+    {
+        for (int i = 1; i <= size; ++i) {
+            member self;
+            self.host = "h" + std::to_string(i);
+            self.region = "r";
+            self.address = "10.0.0." + std::to_string(i);
+            self.gossip_port = 1;
+            self.incarnation = 100;
+            this->tables[self.address] = std::make_unique<member_table>(self, gossip_options{}, i);
+            this->tables[self.address]->add_seed("10.0.0.1", 1);
+        }
+    }
+
+    void run(runtime_clock::duration span)
+    {
+        const time_point until = this->now + span;
+        for (; this->now < until; this->now += 50ms) {
+            for (auto& [address, table] : this->tables) {
+                if (!this->stopped.contains(address))
+                    this->carry(table->tick(this->now));
+            }
+        }
+    }
+
+    void carry(const outgoing_gossips& letters)
+    {
+        for (const outgoing_gossip& letter : letters) {
+            const auto target = this->tables.find(letter.address);
+            if (target == this->tables.end() || this->stopped.contains(letter.address))
+                continue;
+            this->carry(target->second->receive(letter.message, this->now));
+        }
+    }
+
+    member_table& at(int host) { return *this->tables.at("10.0.0." + std::to_string(host)); }
+
+    std::map<std::string, std::unique_ptr<member_table>> tables;
+    std::set<std::string> stopped;
+    time_point now{std::chrono::hours{1}};
+};
+
+member_state state_of(const member_table& table, const std::string& host)
+{
+    for (const member& known : table.members()) {
+        if (known.host == host)
+            return known.state;
+    }
+    return member_state::dead;
+}
+
+class test_membership : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(test_membership);
+    CPPUNIT_TEST(all_find_each_other_from_one_seed);
+    CPPUNIT_TEST(stopped_host_is_dead_within_four_seconds);
+    CPPUNIT_TEST(frozen_host_comes_back_and_declares_nobody_dead);
+    CPPUNIT_TEST(leaving_host_owns_nothing);
+    CPPUNIT_TEST(config_version_spreads_at_once);
+    CPPUNIT_TEST(refused_connection_declares_dead_at_once);
+    CPPUNIT_TEST(gossip_survives_its_codec);
+    CPPUNIT_TEST(malformed_datagrams_are_errors);
+    CPPUNIT_TEST_SUITE_END();
+
+    void all_find_each_other_from_one_seed()
+    {
+        fleet hosts{8};
+        hosts.run(5s);
+        for (int i = 1; i <= 8; ++i)
+            CPPUNIT_ASSERT_EQUAL(std::size_t{8}, hosts.at(i).members().size());
+    }
+
+    void stopped_host_is_dead_within_four_seconds()
+    {
+        fleet hosts{8};
+        hosts.run(5s);
+        hosts.stopped.insert("10.0.0.3");
+        hosts.run(7s);
+        for (int i = 1; i <= 8; ++i) {
+            if (i != 3)
+                CPPUNIT_ASSERT(state_of(hosts.at(i), "h3") == member_state::dead);
+        }
+    }
+
+    void frozen_host_comes_back_and_declares_nobody_dead()
+    {
+        fleet hosts{4};
+        hosts.run(5s);
+        hosts.stopped.insert("10.0.0.2");
+        hosts.run(6s);
+        hosts.stopped.clear();
+        hosts.run(5s);
+        for (int i = 1; i <= 4; ++i) {
+            for (int j = 1; j <= 4; ++j)
+                CPPUNIT_ASSERT(state_of(hosts.at(i), "h" + std::to_string(j)) == member_state::alive);
+        }
+    }
+
+    void leaving_host_owns_nothing()
+    {
+        fleet hosts{3};
+        hosts.run(3s);
+        hosts.carry(hosts.at(2).leave());
+        hosts.run(1s);
+        for (int i = 0; i < 50; ++i)
+            CPPUNIT_ASSERT(owner_of_cell("c" + std::to_string(i), hosts.at(1).members(), "r") != "h2");
+    }
+
+    void config_version_spreads_at_once()
+    {
+        fleet hosts{3};
+        hosts.run(3s);
+        std::int64_t heard = 0;
+        hosts.at(3).on_newer_config([&heard](const member&, std::int64_t version) { heard = version; });
+        hosts.carry(hosts.at(1).set_config_version(7));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, heard);
+    }
+
+    void refused_connection_declares_dead_at_once()
+    {
+        fleet hosts{3};
+        hosts.run(3s);
+        hosts.stopped.insert("10.0.0.3");
+        hosts.carry(hosts.at(1).declare_dead("h3", 100, hosts.now));
+        CPPUNIT_ASSERT(state_of(hosts.at(1), "h3") == member_state::dead);
+        CPPUNIT_ASSERT(state_of(hosts.at(2), "h3") == member_state::dead);
+        hosts.carry(hosts.at(1).declare_dead("h2", 99, hosts.now));
+        CPPUNIT_ASSERT(state_of(hosts.at(1), "h2") == member_state::alive);
+    }
+
+    void gossip_survives_its_codec()
+    {
+        gossip message;
+        message.kind = gossip_kind::probe_request;
+        message.sequence = 9;
+        message.target = "h2";
+        message.sender.host = "h1";
+        message.news.push_back(message.sender);
+        message.config_version = 4;
+        const auto decoded = wire::decode_gossip(wire::encode(wire::to_wire(message)));
+        CPPUNIT_ASSERT(decoded);
+        CPPUNIT_ASSERT(wire::from_wire(*decoded) == message);
+    }
+
+    void malformed_datagrams_are_errors()
+    {
+        CPPUNIT_ASSERT(!wire::decode_gossip("\xff\xff\xff\xff"));
+        const std::string good = wire::encode(wire::to_wire(gossip{}));
+        for (std::size_t size = 0; size + 1 < good.size(); ++size)
+            static_cast<void>(wire::decode_gossip(std::string_view{good}.substr(0, size)));
+        CPPUNIT_ASSERT(!wire::decode_message(std::string(1, '\x1c') + "\xff\xff\xff\xff\x0f"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_membership);
+
+} // namespace
