--- a/src/entry/broker_control.cpp
+++ b/src/entry/broker_control.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
 
 #include "base/event_log.h"
 #include "base/log.h"
@@ -31,6 +32,7 @@
 constexpr milliseconds tick_time{50};
 constexpr milliseconds reconnect_time{200};
 constexpr milliseconds resend_time{300};
+constexpr milliseconds load_poll_time{250};
 
 /// How long past its patience a request for a permit may wait for the broker's own refusal.
 constexpr milliseconds refusal_slack{500};
@@ -42,7 +44,8 @@
 
 broker_control::broker_control(const entry_settings& settings, std::int64_t incarnation, control_ring& inbox,
                                traffic_ring& outbox)
-    : settings(settings), incarnation(incarnation), inbox(inbox), outbox(outbox), context(1)
+    : settings(settings), incarnation(incarnation), inbox(inbox), outbox(outbox), context(1),
+      calls(this->context.get_executor())
 {
     this->links[local_peer].address = settings.broker;
     this->inbox.on_wake([this] { asio::post(this->context, [this] { this->drain_inbox(); }); });
@@ -54,6 +57,7 @@
 {
     const auto work = asio::make_work_guard(this->context);
     asio::co_spawn(this->context, this->tick_loop(), asio::detached);
+    asio::co_spawn(this->context, this->poll_loads(), asio::detached);
     this->context.run();
 }
 
@@ -71,6 +75,10 @@
 
 void broker_control::handle(const to_control::ask& message)
 {
+    if (local_admission* const local = this->local_of(message.cell)) {
+        this->decide_locally(message, *local);
+        return;
+    }
     const bool is_new_cell = !this->cells.contains(message.cell);
     cell_state& cell = this->cells[message.cell];
     if (is_new_cell) {
@@ -87,6 +95,10 @@
 
 void broker_control::handle(const to_control::release& message)
 {
+    if (local_admission* const local = this->local_of(message.cell)) {
+        local->release(message.done.key);
+        return;
+    }
     cell_state& cell = this->cells[message.cell];
     cell.permits.erase(message.done.key);
     this->cell_of_key.erase(message.done.key);
@@ -99,6 +111,10 @@
 
 void broker_control::handle(const to_control::prefilled& message)
 {
+    if (local_admission* const local = this->local_of(message.cell)) {
+        local->prefill_done(message.key, message.prefill_time, runtime_clock::now());
+        return;
+    }
     cell_state& cell = this->cells[message.cell];
     const auto held = cell.permits.find(message.key);
     if (held != cell.permits.end())
@@ -116,6 +132,8 @@
 
 void broker_control::handle(const to_control::pace& message)
 {
+    if (this->local_of(message.cell) != nullptr)
+        return;
     wire::Pace pace;
     pace.cell = message.cell;
     pace.endpoint = message.endpoint;
@@ -197,6 +215,7 @@
     process_events().record("config_in_force", "", "version=" + std::to_string(version));
     log_state("config_in_force", {{"version", std::to_string(version)}});
     set_gauge("radishstep_config_version", static_cast<double>(version));
+    this->site = *site;
     this->push_to_traffic(to_traffic::config{std::make_shared<const site_config>(*site)});
 }
 
@@ -383,6 +402,53 @@
     }
 }
 
+local_admission* broker_control::local_of(const std::string& cell_name)
+{
+    if (this->settings.policy == admission_policy::cell)
+        return nullptr;
+    const auto seed = static_cast<std::uint64_t>(this->incarnation);
+    const auto [found, is_new] = this->local_cells.try_emplace(cell_name, this->settings.policy, seed);
+    const pool_config* const pool = this->site.find_pool(cell_name);
+    if (is_new && pool != nullptr)
+        found->second.configure(*pool);
+    found->second.set_deciders(owner_candidates(this->view.members, this->settings.region).size());
+    return &found->second;
+}
+
+void broker_control::decide_locally(const to_control::ask& message, local_admission& local)
+{
+    const cell_decision decision = local.ask(message.wish, runtime_clock::now());
+    if (const auto* grant = std::get_if<permit_grant>(&decision))
+        this->push_to_traffic(*grant);
+    else
+        this->push_to_traffic(std::get<permit_refusal>(decision));
+}
+
+asio::awaitable<void> broker_control::poll_loads()
+{
+    timer pause{this->context};
+    while (this->settings.policy == admission_policy::least_reported) {
+        for (const pool_config& pool : this->site.pools) {
+            for (const endpoint_config& endpoint : pool.endpoints)
+                asio::co_spawn(this->context, this->poll_load(endpoint, pool.name), asio::detached);
+        }
+        pause.expires_after(load_poll_time);
+        boost::system::error_code ignored;
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+asio::awaitable<void> broker_control::poll_load(endpoint_config endpoint, std::string pool)
+{
+    http::request question = http::get_request("/v1/load");
+    const http::call_options options;
+    const auto answer = co_await this->calls.call(endpoint.address, std::move(question), options);
+    local_admission* const local = this->local_of(pool);
+    const auto json = nlohmann::json::parse(answer ? answer->body : std::string{}, nullptr, false);
+    if (local != nullptr && json.is_object())
+        local->report_load(endpoint.name, json.value("load", 0));
+}
+
 void broker_control::push_to_traffic(to_traffic::any message)
 {
     if (!this->outbox.push(std::move(message)))
--- a/src/entry/broker_control.h
+++ b/src/entry/broker_control.h
@@ -14,7 +14,9 @@
 #include "base/runtime_clock.h"
 #include "entry/control_messages.h"
 #include "entry/entry_settings.h"
+#include "http/client.h"
 #include "membership/member.h"
+#include "routing/local_admission.h"
 #include "routing/poison_list.h"
 
 namespace radishstep {
@@ -94,6 +96,10 @@
     boost::asio::awaitable<void> connect(std::string peer);
     void link_opened(const std::string& peer);
     void push_to_traffic(to_traffic::any message);
+    local_admission* local_of(const std::string& cell_name);
+    void decide_locally(const to_control::ask& message, local_admission& local);
+    boost::asio::awaitable<void> poll_loads();
+    boost::asio::awaitable<void> poll_load(endpoint_config endpoint, std::string pool);
     cell_state* cell_of_permit(const permit_key& key, std::string& name);
 
     entry_settings settings;
@@ -106,6 +112,10 @@
     std::map<std::string, peer_link> links;
     fleet_view view;
     std::int64_t config_version = 0;
+    /// Used instead of the brokers by the policies that decide in this process.
+    std::map<std::string, local_admission> local_cells;
+    site_config site;
+    http::client calls;
     std::atomic<bool> view_known{false};
     std::atomic<bool> host_leaving{false};
     std::atomic<std::size_t> open_permits{0};
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -24,6 +24,8 @@
   --drain-notice-ms N   At a stop, how long connections are still accepted after readiness ends (1000).
   --drain-ms N          At a stop, how long running requests may take (120000).
   --body-bytes N        Longest request body (1048576).
+  --policy NAME         Who chooses endpoints: cell (the broker), or this process alone by round_robin,
+                        least_reported or power_of_two; these three are for comparison (cell).
   --log-level NAME      TRACE, DEBUG, INFO, WARN or ERROR (INFO).
   --check               Check the settings and stop.
   --help                Show this text.
@@ -56,6 +58,11 @@
     settings.drain_time = milliseconds{reader->number("--drain-ms", settings.drain_time.count(), 0, longest_ms)};
     settings.body_bytes = reader->number("--body-bytes", usual_body_bytes, 1'024, most_body_bytes);
     settings.log_level = reader->text("--log-level", "INFO");
+    const std::string policy = reader->text("--policy", "cell");
+    settings.policy = policy_of(policy);
+    if (to_string(settings.policy) != policy)
+        return fail(error_kind::bad_setting, "--policy '" + policy + "' is unknown",
+                    "give cell, round_robin, least_reported or power_of_two");
     settings.check_only = reader->is_given("--check");
     if (const auto verdict = reader->verdict(); !verdict)
         return tl::unexpected{verdict.error()};
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -5,6 +5,7 @@
 
 #include "base/error.h"
 #include "base/runtime_clock.h"
+#include "routing/local_admission.h"
 
 namespace radishstep {
 
@@ -24,6 +25,7 @@
     milliseconds drain_notice{1'000};
     milliseconds drain_time{120'000};
     std::int64_t body_bytes = 0;
+    admission_policy policy = admission_policy::cell;
     bool check_only = false;
 
     bool operator==(const entry_settings&) const = default;
--- /dev/null
+++ b/tests/bench/cost_bench.cpp
@@ -0,0 +1,194 @@
+#include "cost_bench.h"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+#include <vector>
+
+#include <sys/resource.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "load/load_report.h"
+#include "routing/cell.h"
+#include "site.h"
+
+namespace radishstep::testing {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int cell_decode_endpoints = 48;
+constexpr int cell_prefill_endpoints = 16;
+constexpr int cell_clients = 480;
+constexpr int permit_rounds = 100'000;
+constexpr int relay_events = 100'000;
+constexpr int event_bytes = 64;
+constexpr double us_per_s = 1e6;
+
+double thread_cpu_seconds()
+{
+    rusage usage{};
+    getrusage(RUSAGE_THREAD, &usage);
+    const auto seconds = [](const timeval& time) {
+        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / us_per_s;
+    };
+    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+cell full_cell(time_point now)
+{
+    pool_config pool;
+    pool.name = "bench";
+    for (int i = 0; i < cell_prefill_endpoints; ++i)
+        pool.endpoints.push_back({"p" + std::to_string(i), "z", endpoint_role::prefill, "10.0.0.1:1", 1, 0, false});
+    for (int i = 0; i < cell_decode_endpoints; ++i)
+        pool.endpoints.push_back({"d" + std::to_string(i), "z", endpoint_role::decode, "10.0.0.2:1", 20, 4'000, false});
+    cell made{"bench"};
+    made.configure(pool, {});
+    for (const endpoint_config& endpoint : made.endpoint_configs())
+        made.report({endpoint.name, true, false, "1", {}}, now);
+    return made;
+}
+
+/// One permit is an ask, the end of its prefill and its release, with the cell about as full as at peak.
+double measure_permits()
+{
+    const time_point start = runtime_clock::now();
+    time_point now = start;
+    cell tested = full_cell(now);
+    constexpr int open_at_once = 900;
+    const auto key_of = [](int number) { return permit_key{"host-1:1:" + std::to_string(number), 1}; };
+    const double before = thread_cpu_seconds();
+    for (int i = 0; i < permit_rounds; ++i) {
+        now += std::chrono::microseconds{50};
+        permit_ask wish;
+        wish.key = key_of(i);
+        wish.holder = "host-1/1";
+        wish.client = "client-" + std::to_string(i % cell_clients);
+        wish.prompt_tokens = 100;
+        wish.answer_tokens = 60;
+        wish.fingerprint = static_cast<std::uint64_t>(i);
+        wish.prefix = static_cast<std::uint64_t>(i);
+        wish.patience = std::chrono::seconds{60};
+        tested.ask(wish, now);
+        if (i >= cell_prefill_endpoints / 2)
+            tested.prefill_done(key_of(i - cell_prefill_endpoints / 2), std::chrono::milliseconds{10}, now);
+        if (i >= open_at_once) {
+            permit_release done;
+            done.key = key_of(i - open_at_once);
+            done.tokens = 60;
+            done.decode_time = std::chrono::seconds{1};
+            tested.release(done, now);
+        }
+    }
+    return permit_rounds / (thread_cpu_seconds() - before);
+}
+
+asio::awaitable<void> send_events(asio::ip::tcp::socket& out)
+{
+    const std::string event(event_bytes, 'e');
+    for (int i = 0; i < relay_events; ++i)
+        co_await asio::async_write(out, asio::buffer(event), asio::use_awaitable);
+    out.close();
+}
+
+asio::awaitable<void> relay_events_one_by_one(asio::ip::tcp::socket& in, asio::ip::tcp::socket& out)
+{
+    std::string event(event_bytes, ' ');
+    for (int i = 0; i < relay_events; ++i) {
+        co_await asio::async_read(in, asio::buffer(event), asio::use_awaitable);
+        co_await asio::async_write(out, asio::buffer(event), asio::use_awaitable);
+    }
+}
+
+/// The processor time of a relay that reads and writes each event of 64 bytes by itself.
+double measure_relay()
+{
+    asio::io_context ends;
+    asio::io_context middle;
+    asio::ip::tcp::acceptor listener{ends, {asio::ip::make_address("127.0.0.1"), 0}};
+    asio::ip::tcp::socket source{ends};
+    asio::ip::tcp::socket in{middle};
+    source.connect(listener.local_endpoint());
+    listener.accept(in);
+    asio::ip::tcp::socket out{middle};
+    out.connect(listener.local_endpoint());
+    asio::ip::tcp::socket sink = listener.accept();
+    out.set_option(asio::ip::tcp::no_delay{true});
+    asio::co_spawn(ends, send_events(source), asio::detached);
+    auto drain = [&sink]() -> asio::awaitable<void> {
+        std::string all(event_bytes * 1'024, ' ');
+        std::size_t left = static_cast<std::size_t>(relay_events) * event_bytes;
+        while (left > 0)
+            left -= co_await sink.async_read_some(asio::buffer(all), asio::use_awaitable);
+    };
+    asio::co_spawn(ends, drain(), asio::detached);
+    asio::co_spawn(middle, relay_events_one_by_one(in, out), asio::detached);
+    std::thread others{[&ends] { ends.run(); }};
+    const double before = thread_cpu_seconds();
+    middle.run();
+    const double used = thread_cpu_seconds() - before;
+    others.join();
+    return used / relay_events * us_per_s;
+}
+
+/// Streams through one entry process, and the same prompts straight at the engines for the first token.
+void measure_entry(cost_figures& costs)
+{
+    site_options options;
+    options.hosts = 1;
+    options.prefill = 2;
+    options.decode = 2;
+    options.decode_us = 5'000;
+    options.prefill_us = 10;
+    options.transfer_us = 1;
+    site running{options};
+    running.start();
+    load::load_options wanted;
+    wanted.entries = {running.entry(1)};
+    wanted.keys = {"coach-key"};
+    wanted.model = "gala-notes";
+    wanted.rate = 40;
+    wanted.seconds = 6;
+    wanted.prompt_tokens = 100;
+    wanted.answer_tokens = 100;
+    const auto plan = load::make_plan(wanted);
+    asio::io_context context{1};
+    http::client calls{context.get_executor()};
+    std::vector<load::call_sample> samples;
+    auto work = [&]() -> asio::awaitable<void> { samples = co_await load::run_load(calls, wanted, *plan); };
+    const double before = running.at("entry-1").cpu_seconds();
+    asio::co_spawn(context, work, asio::detached);
+    context.run();
+    const double used = running.at("entry-1").cpu_seconds() - before;
+    double tokens = 0;
+    std::vector<double> first;
+    for (const load::call_sample& sample : samples) {
+        tokens += sample.tokens;
+        first.push_back(sample.first_token_ms);
+    }
+    costs.entry_event_us = used / std::max(tokens, 1.0) * us_per_s;
+    // Reading, the way over and the first token of the engines themselves take this long.
+    const double engine_ms = 100 * 0.01 + 100 * 0.001 + 5;
+    costs.added_first_token_ms = load::quantile(first, 0.5) - engine_ms;
+}
+
+} // namespace
+
+cost_figures measure_costs()
+{
+    cost_figures costs;
+    costs.permits_per_s = measure_permits();
+    costs.relay_event_us = measure_relay();
+    measure_entry(costs);
+    return costs;
+}
+
+} // namespace radishstep::testing
--- a/tests/holds/test_calls.cpp
+++ b/tests/holds/test_calls.cpp
@@ -13,14 +13,16 @@
 using namespace radishstep::testing;
 
 /// What came of all tries with one idempotency key.
-struct key_history {
+struct key_history
+{
     int answered = 0;
     int may_have_run = 0;
     int not_run = 0;
     int runs = 0;
 };
 
-class holds_calls : public CppUnit::TestFixture {
+class holds_calls : public CppUnit::TestFixture
+{
     CPPUNIT_TEST_SUITE(holds_calls);
     CPPUNIT_TEST(non_idempotent_at_most_once);
     CPPUNIT_TEST(poison_takes_two_endpoints);
@@ -92,8 +94,8 @@
             ++true_refusals;
             CPPUNIT_ASSERT_MESSAGE(record.outcome.request, !requests_run.contains(record.outcome.request));
         }
-        std::cout << "keys=" << keys.size() << " run_once=" << run_once << " run_twice=0 not_run_refusals="
-                  << true_refusals << " false_not_run=0\n";
+        std::cout << "keys=" << keys.size() << " run_once=" << run_once
+                  << " run_twice=0 not_run_refusals=" << true_refusals << " false_not_run=0\n";
     }
 
     /// A prompt that stops every engine that runs it, sent again and again through all hosts, takes down
--- a/tests/holds/test_configuration.cpp
+++ b/tests/holds/test_configuration.cpp
@@ -19,7 +19,8 @@
 constexpr std::chrono::seconds force_bound{6};
 
 /// Watches the configuration version of all hosts and notes each step back.
-class version_watch {
+class version_watch
+{
 public:
     explicit version_watch(site& running) : running(running), thread([this] { this->watch(); }) {}
 
@@ -87,7 +88,8 @@
     std::thread thread;
 };
 
-class holds_configuration : public CppUnit::TestFixture {
+class holds_configuration : public CppUnit::TestFixture
+{
     CPPUNIT_TEST_SUITE(holds_configuration);
     CPPUNIT_TEST(accepted_configuration_stays);
     CPPUNIT_TEST_SUITE_END();
@@ -146,8 +148,9 @@
     void race(site& running)
     {
         std::ofstream{running.folder() + "/base.toml", std::ios::app} << client_named("fourth");
-        const std::vector<std::string> apply{"config", "apply",  "--base", running.folder() + "/base.toml",
-                                             "--overlays", running.folder() + "/overlays", "--from", "3"};
+        const std::vector<std::string> apply{
+            "config", "apply", "--base", running.folder() + "/base.toml", "--overlays", running.folder() + "/overlays",
+            "--from", "3"};
         int first_code = 0;
         int second_code = 0;
         std::vector<std::string> first = apply;
--- a/tests/holds/test_cuts.cpp
+++ b/tests/holds/test_cuts.cpp
@@ -32,7 +32,8 @@
     running.calls().send(running.relay_control(endpoint), "POST", "/", fault.dump());
 }
 
-class holds_cuts : public CppUnit::TestFixture {
+class holds_cuts : public CppUnit::TestFixture
+{
     CPPUNIT_TEST_SUITE(holds_cuts);
     CPPUNIT_TEST(non_idempotent_at_each_cut);
     CPPUNIT_TEST(whole_answer_at_each_cut);
--- a/tests/holds/test_memory.cpp
+++ b/tests/holds/test_memory.cpp
@@ -15,7 +15,8 @@
 /// The users' bound on memory that is held for a request that is gone.
 constexpr std::chrono::seconds release_bound{5};
 
-class holds_memory : public CppUnit::TestFixture {
+class holds_memory : public CppUnit::TestFixture
+{
     CPPUNIT_TEST_SUITE(holds_memory);
     CPPUNIT_TEST(engine_memory_released);
     CPPUNIT_TEST_SUITE_END();
--- a/tests/holds/test_stops.cpp
+++ b/tests/holds/test_stops.cpp
@@ -38,7 +38,8 @@
     return options;
 }
 
-class holds_stops : public CppUnit::TestFixture {
+class holds_stops : public CppUnit::TestFixture
+{
     CPPUNIT_TEST_SUITE(holds_stops);
     CPPUNIT_TEST(leaving_host_gets_no_work);
     CPPUNIT_TEST(planned_stop_cuts_nothing);
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds poll_time{2};
 constexpr std::chrono::seconds finished_linger{2};
 constexpr int bytes_per_token = 4;
+constexpr int read_step = 64;
 constexpr std::size_t prefix_bytes = 256;
 constexpr std::size_t max_cached_prefixes = 64;
 
@@ -55,6 +56,8 @@
         co_await reply.send(this->cancel(asked));
     else if (path == "/v1/status")
         co_await reply.send(this->status());
+    else if (path == "/v1/load")
+        co_await reply.send(this->late_load());
     else if (path == "/v1/orders")
         co_await reply.send(this->take_order(asked));
     else if (path == "/fault")
@@ -89,8 +92,11 @@
     if (prompt.size() > prefix_bytes && this->cached_prefixes.contains(prefix))
         to_read -= static_cast<int>(prefix_bytes) / bytes_per_token;
     this->prefill_tokens += tokens;
-    for (int done = 0; done < to_read && !this->cancelled.contains(job); done += 16)
-        co_await sleep_for(this->options.prefill_token * std::min(16, to_read - done) * this->slow_factor());
+    time_point next = runtime_clock::now();
+    for (int done = 0; done < to_read && !this->cancelled.contains(job); done += read_step) {
+        next += this->options.prefill_token * std::min(read_step, to_read - done) * this->slow_factor();
+        co_await sleep_for(next - runtime_clock::now());
+    }
     this->reading.erase(job);
     if (this->cancelled.erase(job) > 0) {
         this->wasted_prefill_tokens += tokens;
@@ -176,8 +182,11 @@
 
 asio::awaitable<void> engine::generate(std::shared_ptr<decode_job> job)
 {
+    // Each token has its own moment, so that late wake-ups do not add up.
+    time_point next = runtime_clock::now();
     for (int i = job->first; i < job->total && !job->cancelled; ++i) {
-        co_await sleep_for(this->options.decode_token * this->slow_factor());
+        next += this->options.decode_token * this->slow_factor();
+        co_await sleep_for(next - runtime_clock::now());
         job->tokens.push_back(answer_token(job->prompt, i));
         ++this->decode_tokens;
     }
@@ -251,21 +260,25 @@
     for (const auto& [name, result] : this->results)
         held.push_back(name);
     held.insert(held.end(), this->reading.begin(), this->reading.end());
-    const time_point now = runtime_clock::now();
-    this->load_history.emplace_back(now, this->running + this->waiting + static_cast<int>(this->reading.size()));
-    while (this->load_history.size() > 1 && this->load_history[1].first + this->options.load_lag < now)
-        this->load_history.pop_front();
     return json_answer(200, {{"incarnation", this->incarnation},
-                             {"uptime_ms", to_ms(now - this->started)},
+                             {"uptime_ms", to_ms(runtime_clock::now() - this->started)},
                              {"leaving", this->leaving},
                              {"jobs", held},
-                             {"late_load", this->load_history.front().second},
                              {"prefill_tokens", this->prefill_tokens},
                              {"wasted_prefill_tokens", this->wasted_prefill_tokens},
                              {"decode_tokens", this->decode_tokens},
                              {"late_orders", this->late_orders}});
 }
 
+http::response engine::late_load()
+{
+    const time_point now = runtime_clock::now();
+    this->load_history.emplace_back(now, this->running + this->waiting + static_cast<int>(this->reading.size()));
+    while (this->load_history.size() > 1 && this->load_history[1].first + this->options.load_lag < now)
+        this->load_history.pop_front();
+    return json_answer(200, {{"load", this->load_history.front().second}});
+}
+
 http::response engine::take_order(const http::request& asked)
 {
     const std::int64_t fence = parse_body(asked).value("fence", std::int64_t{0});
--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -67,6 +67,7 @@
     boost::asio::awaitable<void> stream(std::shared_ptr<decode_job> job, int offset, http::reply& reply);
     http::response cancel(const http::request& asked);
     http::response status();
+    http::response late_load();
     http::response take_order(const http::request& asked);
     http::response set_fault(const http::request& asked);
     void crash_if_poisoned(const std::string& prompt) const;
--- a/tests/standins/engine_main.cpp
+++ b/tests/standins/engine_main.cpp
@@ -13,6 +13,7 @@
     options.decode_token = std::chrono::microseconds{flag(argc, argv, "decode-us", 5'000)};
     options.transfer_token = std::chrono::microseconds{flag(argc, argv, "transfer-us", 5)};
     options.evict_time = radishstep::milliseconds{flag(argc, argv, "evict-ms", 1'000)};
+    options.load_lag = radishstep::milliseconds{flag(argc, argv, "load-lag-ms", 1'000)};
     options.checks_fence = flag(argc, argv, "checks-fence", 1) == 1;
     options.seen_log = flag(argc, argv, "seen-log", std::string{});
     boost::asio::io_context context{1};
--- a/tests/standins/relay.cpp
+++ b/tests/standins/relay.cpp
@@ -22,7 +22,8 @@
 
 /// What to do to the next connection on which `match` is sent: after `at` bytes in one direction,
 /// counted from the match on, reset it or leave it open and silent for good.
-struct armed_fault {
+struct armed_fault
+{
     std::string match;
     bool upwards = true;
     int at = -1;
@@ -30,7 +31,8 @@
 };
 
 /// A TCP relay before an endpoint that cuts connections at a chosen byte.
-class relay {
+class relay
+{
 public:
     relay(asio::io_context& context, const std::string& target) : context(context)
     {
@@ -60,7 +62,8 @@
     }
 
 private:
-    struct connection {
+    struct connection
+    {
         explicit connection(asio::io_context& context) : near(context), far(context) {}
 
         asio::ip::tcp::socket near;
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <filesystem>
+#include <fstream>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -86,6 +87,20 @@
     return false;
 }
 
+double process::cpu_seconds() const
+{
+    std::ifstream file{"/proc/" + std::to_string(this->pid) + "/stat"};
+    std::string word;
+    double ticks = 0;
+    constexpr int user_field = 14;
+    constexpr int system_field = 15;
+    for (int field = 1; field <= system_field && file >> word; ++field) {
+        if (field == user_field || field == system_field)
+            ticks += std::stod(word);
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
 std::string program_folder()
 {
     return std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -31,6 +31,9 @@
 
     bool is_running();
 
+    /// Returns the processor time that the process has used so far, in seconds.
+    double cpu_seconds() const;
+
 private:
     pid_t pid = -1;
     int exit_code = -1;
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -106,7 +106,9 @@
                "--slots=" + std::to_string(reads ? 1 : this->options.decode_slots),
                "--prefill-us=" + std::to_string(this->options.prefill_us),
                "--decode-us=" + std::to_string(this->options.decode_us),
-               "--transfer-us=" + std::to_string(this->options.transfer_us), "--seen-log=" + this->seen_log(name)});
+               "--transfer-us=" + std::to_string(this->options.transfer_us), "--seen-log=" + this->seen_log(name),
+               "--evict-ms=" + std::to_string(this->options.evict_ms),
+               "--load-lag-ms=" + std::to_string(this->options.load_lag_ms)});
 }
 
 void site::start_service(const std::string& name)
@@ -137,12 +139,12 @@
 void site::start_entry(int host)
 {
     const std::string number = std::to_string(host);
-    this->run("entry-" + number, "radishstep-entry",
-              {"--host=host-" + number, "--zone=" + this->zone(host), "--region=sk-west", "--site=sk-west",
-               "--listen=" + this->entry(host), "--admin=" + this->entry_admin(host),
-               "--broker=" + this->ip(host) + ":7100", "--key-value=" + this->platform_address(),
-               "--silence-ms=" + std::to_string(this->options.silence_ms),
-               "--drain-notice-ms=" + std::to_string(this->options.drain_notice_ms)});
+    this->run(
+        "entry-" + number, "radishstep-entry",
+        {"--host=host-" + number, "--zone=" + this->zone(host), "--region=sk-west", "--site=sk-west",
+         "--listen=" + this->entry(host), "--admin=" + this->entry_admin(host), "--broker=" + this->ip(host) + ":7100",
+         "--key-value=" + this->platform_address(), "--silence-ms=" + std::to_string(this->options.silence_ms),
+         "--drain-notice-ms=" + std::to_string(this->options.drain_notice_ms), "--policy=" + this->options.policy});
 }
 
 std::string site::seen_log(const std::string& endpoint) const
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -26,6 +26,10 @@
     int request_deadline_ms = 30'000;
     int silence_ms = 600;
     int drain_notice_ms = 200;
+    int evict_ms = 1'000;
+    int load_lag_ms = 1'000;
+    int token_target_ms = 70;
+    std::string policy = "cell";
     /// Puts a relay before each endpoint, which can cut connections.
     bool relayed = false;
 };
