Count the time from prefill to first token in a cell's promises

Cause: a request was granted as late as its prompt could still be read in time; the transfer and the first step of writing were forgotten. Ruled out: the order of the queue (all late answers had waited to the edge of their patience) and the permit's own latency (0.7 ms for refusals). Change: entries report the time from the prefill's end to the first token; the cell adds its mean and three mean deviations to what it promises.

--- a/src/entry/model_request.cpp
+++ b/src/entry/model_request.cpp
@@ -167,6 +167,8 @@
     done.prompt_tokens = estimate_tokens(this->asked.prompt);
     done.tokens = times.tokens;
     done.decode_time = times.last_token - times.first_token;
+    if (times.tokens > 0)
+        done.start_time = times.first_token - times.prefill_started - times.prefill_time;
     done.failed = effect.failed;
     done.died = effect.died;
     done.fingerprint = this->fingerprint;
--- a/src/routing/cell.cpp
+++ b/src/routing/cell.cpp
@@ -23,6 +23,9 @@
 /// How long an endpoint's report may still name a job whose permit was released.
 constexpr std::chrono::milliseconds release_settle_time{500};
 
+/// So many mean deviations are added to the expected time from a prefill's end to the first token.
+constexpr int start_deviations = 3;
+
 /// The farthest time into the future that a refusal asks a caller to wait.
 constexpr std::chrono::seconds max_retry_after{30};
 
@@ -105,13 +108,14 @@
     }
     const duration wait = this->predicted_wait(wish, now);
     const duration reading = this->best_prefill_time(wish, now);
+    const duration service = reading + this->time_to_start();
     const duration patience_left = wish.patience - wish.waited;
     const bool is_rebuilding = now < this->rebuild_until;
-    if (!is_rebuilding && wait + reading > patience_left) {
-        this->refuse(wish, error_kind::overloaded, wait + reading - patience_left, decisions);
+    if (!is_rebuilding && wait + service > patience_left) {
+        this->refuse(wish, error_kind::overloaded, wait + service - patience_left, decisions);
         return decisions;
     }
-    const duration longest_wait = std::max(patience_left - reading, duration::zero());
+    const duration longest_wait = std::max(patience_left - service, duration::zero());
     this->queue.add({wish, now, now + longest_wait, reading});
     this->pump(now, decisions);
     return decisions;
@@ -148,8 +152,12 @@
     if (has_pace && decode != this->states.end())
         decode->second.pace.observe(done.decode_time / done.tokens, now);
     const duration held = now - permit.granted_at;
-    if (done.failed.empty() && done.tokens > 0)
-        this->mean_decode_time += scaled(held - this->mean_decode_time, decode_time_weight);
+    if (!done.failed.empty() || done.tokens == 0)
+        return;
+    this->mean_decode_time += scaled(held - this->mean_decode_time, decode_time_weight);
+    const duration difference = done.start_time - this->mean_start_time;
+    this->mean_start_time += scaled(difference, decode_time_weight);
+    this->start_deviation += scaled(std::chrono::abs(difference) - this->start_deviation, decode_time_weight);
 }
 
 cell_decisions cell::prefill_done(const permit_key& key, duration prefill_time, time_point now)
@@ -400,6 +408,11 @@
     return holds_prefix ? scaled(reading, 1.0 - prefix_saving) : reading;
 }
 
+duration cell::time_to_start() const
+{
+    return this->mean_start_time + this->start_deviation * start_deviations;
+}
+
 duration cell::best_prefill_time(const permit_ask& wish, time_point now) const
 {
     std::optional<duration> best;
--- a/src/routing/permit_wire.cpp
+++ b/src/routing/permit_wire.cpp
@@ -79,6 +79,7 @@
     message.prompt_tokens = release.prompt_tokens;
     message.tokens = release.tokens;
     message.decode_us = to_us32(release.decode_time);
+    message.start_us = to_us32(release.start_time);
     message.failed = release.failed;
     message.died = release.died;
     message.fingerprint = static_cast<std::int64_t>(release.fingerprint);
@@ -146,6 +147,7 @@
     release.prompt_tokens = message.prompt_tokens;
     release.tokens = message.tokens;
     release.decode_time = std::chrono::microseconds{message.decode_us};
+    release.start_time = std::chrono::microseconds{message.start_us};
     release.failed = message.failed;
     release.died = message.died;
     release.fingerprint = static_cast<std::uint64_t>(message.fingerprint);
