Refuse requests at the edge of their time before granting others

Change: expired requests leave the queue before each grant; requests whose work was partly paid for go first and wait to their deadline.

--- a/src/config/site_config.h
+++ b/src/config/site_config.h
@@ -60,7 +60,8 @@
     bool operator==(const service_config&) const = default;
 };
 
-enum class client_priority { interactive = 0, batch = 1 };
+/// The order in which waiting requests are served. One whose work was partly paid for goes first.
+enum class client_priority { resumed = 0, interactive = 1, batch = 2 };
 
 /// One account that may call, and what it was granted.
 struct client_config
--- a/src/entry/broker_control.cpp
+++ b/src/entry/broker_control.cpp
@@ -254,7 +254,7 @@
 {
     held.last_sent = runtime_clock::now();
     permit_ask wish = held.wish;
-    wish.waited = held.last_sent - held.asked_at;
+    wish.waited += held.last_sent - held.asked_at;
     wire::Message message;
     message.__set_permit_request(wire::to_wire(wish, name));
     this->send_to_owner(cell.owner, message);
--- a/src/entry/model_request.cpp
+++ b/src/entry/model_request.cpp
@@ -140,13 +140,13 @@
     permit_ask wish;
     wish.key = {this->name, effect.attempt};
     wish.client = this->client.name;
-    const bool is_batch = this->asked.batch || this->client.priority == client_priority::batch;
-    wish.priority = is_batch ? client_priority::batch : client_priority::interactive;
+    wish.priority = this->priority_of(effect.attempt);
     wish.prompt_tokens = this->wish_tokens();
     wish.answer_tokens = this->asked.max_tokens - this->state.answered_tokens;
     wish.prefix = hash64(std::string_view{this->asked.prompt}.substr(0, prefix_bytes));
     wish.fingerprint = this->fingerprint;
-    wish.patience = is_batch ? this->pool.batch_patience : this->pool.first_token_target;
+    wish.patience = this->patience_of(wish.priority);
+    wish.waited = runtime_clock::now() - this->arrived;
     wish.avoid = effect.avoid;
     process_events().record("permit_asked", this->name, "attempt=" + std::to_string(effect.attempt));
     this->shared.waiting[wish.key] = [self = this->shared_from_this()](const to_traffic::any& message) {
@@ -168,7 +168,7 @@
     done.tokens = times.tokens;
     done.decode_time = times.last_token - times.first_token;
     if (times.tokens > 0)
-        done.start_time = times.first_token - times.prefill_started - times.prefill_time;
+        done.service_time = times.first_token - times.prefill_started;
     done.failed = effect.failed;
     done.died = effect.died;
     done.fingerprint = this->fingerprint;
@@ -443,6 +443,27 @@
         co_await wait_on(this->outbox_drained);
 }
 
+client_priority model_request::priority_of(int attempt) const
+{
+    if (attempt > 1)
+        return client_priority::resumed;
+    const bool is_batch = this->asked.batch || this->client.priority == client_priority::batch;
+    return is_batch ? client_priority::batch : client_priority::interactive;
+}
+
+runtime_clock::duration model_request::patience_of(client_priority priority) const
+{
+    switch (priority) {
+    case client_priority::resumed:
+        return this->pool.request_deadline;
+    case client_priority::interactive:
+        return this->pool.first_token_target;
+    case client_priority::batch:
+        break;
+    }
+    return this->pool.batch_patience;
+}
+
 int model_request::wish_tokens() const
 {
     return estimate_tokens(this->asked.prompt) + this->state.answered_tokens;
--- a/src/entry/model_request.h
+++ b/src/entry/model_request.h
@@ -73,6 +73,8 @@
     http::request prefill_order(int attempt) const;
     http::request decode_order(const request_effect::start_decode& order) const;
     http::request cancel_order(int attempt) const;
+    client_priority priority_of(int attempt) const;
+    runtime_clock::duration patience_of(client_priority priority) const;
     /// Returns how many tokens a prefill endpoint has to read.
     int wish_tokens() const;
     std::string job_of(int attempt) const;
--- a/src/routing/cell.cpp
+++ b/src/routing/cell.cpp
@@ -23,8 +23,8 @@
 /// How long an endpoint's report may still name a job whose permit was released.
 constexpr std::chrono::milliseconds release_settle_time{500};
 
-/// So many mean deviations are added to the expected time from a prefill's end to the first token.
-constexpr int start_deviations = 3;
+/// So many mean deviations are added to the expected time to a first token.
+constexpr int excess_deviations = 3;
 
 /// The farthest time into the future that a refusal asks a caller to wait.
 constexpr std::chrono::seconds max_retry_after{30};
@@ -108,7 +108,7 @@
     }
     const duration wait = this->predicted_wait(wish, now);
     const duration reading = this->best_prefill_time(wish, now);
-    const duration service = reading + this->time_to_start();
+    const duration service = reading + this->expected_excess();
     const duration patience_left = wish.patience - wish.waited;
     const bool is_rebuilding = now < this->rebuild_until;
     if (!is_rebuilding && wait + service > patience_left) {
@@ -155,9 +155,10 @@
     if (!done.failed.empty() || done.tokens == 0)
         return;
     this->mean_decode_time += scaled(held - this->mean_decode_time, decode_time_weight);
-    const duration difference = done.start_time - this->mean_start_time;
-    this->mean_start_time += scaled(difference, decode_time_weight);
-    this->start_deviation += scaled(std::chrono::abs(difference) - this->start_deviation, decode_time_weight);
+    const duration excess = done.service_time - permit.predicted_prefill;
+    const duration difference = excess - this->mean_excess;
+    this->mean_excess += scaled(difference, decode_time_weight);
+    this->excess_deviation += scaled(std::chrono::abs(difference) - this->excess_deviation, decode_time_weight);
 }
 
 cell_decisions cell::prefill_done(const permit_key& key, duration prefill_time, time_point now)
@@ -280,12 +281,6 @@
 cell_decisions cell::tick(time_point now)
 {
     cell_decisions decisions;
-    for (const waiting_ask& entry : this->queue.take_expired(now)) {
-        const bool has_endpoints =
-            this->usable_count(endpoint_role::prefill) > 0 && this->usable_count(endpoint_role::decode) > 0;
-        const error_kind kind = has_endpoints ? error_kind::overloaded : error_kind::no_endpoint;
-        this->refuse(entry.ask, kind, this->options.first_token_target, decisions);
-    }
     this->expire_orphans(now, decisions);
     std::erase_if(this->released_jobs, [now](const auto& item) { return item.second + release_settle_time < now; });
     this->pump(now, decisions);
@@ -408,9 +403,9 @@
     return holds_prefix ? scaled(reading, 1.0 - prefix_saving) : reading;
 }
 
-duration cell::time_to_start() const
+duration cell::expected_excess() const
 {
-    return this->mean_start_time + this->start_deviation * start_deviations;
+    return this->mean_excess + this->excess_deviation * excess_deviations;
 }
 
 duration cell::best_prefill_time(const permit_ask& wish, time_point now) const
@@ -533,8 +528,19 @@
         --endpoint.used;
 }
 
+void cell::refuse_expired(time_point now, cell_decisions& decisions)
+{
+    for (const waiting_ask& entry : this->queue.take_expired(now)) {
+        const bool has_endpoints =
+            this->usable_count(endpoint_role::prefill) > 0 && this->usable_count(endpoint_role::decode) > 0;
+        const error_kind kind = has_endpoints ? error_kind::overloaded : error_kind::no_endpoint;
+        this->refuse(entry.ask, kind, this->options.first_token_target, decisions);
+    }
+}
+
 void cell::pump(time_point now, cell_decisions& decisions)
 {
+    this->refuse_expired(now, decisions);
     while (true) {
         endpoint_state* prefill = nullptr;
         endpoint_state* decode = nullptr;
--- a/src/routing/cell.h
+++ b/src/routing/cell.h
@@ -146,7 +146,7 @@
     endpoint_state* pick_prefill(const permit_ask& wish, time_point now);
     endpoint_state* pick_decode(const permit_ask& wish, time_point now);
     runtime_clock::duration prefill_time(const endpoint_state& endpoint, const permit_ask& wish, time_point now) const;
-    runtime_clock::duration time_to_start() const;
+    runtime_clock::duration expected_excess() const;
     runtime_clock::duration best_prefill_time(const permit_ask& wish, time_point now) const;
     runtime_clock::duration predicted_wait(const permit_ask& wish, time_point now) const;
     runtime_clock::duration overdue_pace(const endpoint_state& endpoint, time_point now) const;
@@ -159,6 +159,7 @@
     void take(permit_state permit);
     void drop(const permit_key& key, time_point now);
     static void end_reading(endpoint_state& endpoint, const permit_key& key);
+    void refuse_expired(time_point now, cell_decisions& decisions);
     void pump(time_point now, cell_decisions& decisions);
     void refuse(const permit_ask& wish, error_kind kind, runtime_clock::duration retry_after,
                 cell_decisions& decisions) const;
@@ -177,9 +178,9 @@
     poison_list poison;
     std::function<bool(const std::string&)> host_check;
     runtime_clock::duration mean_decode_time = std::chrono::seconds{2};
-    /// From the end of a prefill to the first token: the mean and the mean deviation.
-    runtime_clock::duration mean_start_time{};
-    runtime_clock::duration start_deviation{};
+    /// What the way to the first token takes beyond the predicted prefill: mean and mean deviation.
+    runtime_clock::duration mean_excess{};
+    runtime_clock::duration excess_deviation{};
     time_point rebuild_until;
 };
 
--- a/src/routing/fair_queue.h
+++ b/src/routing/fair_queue.h
@@ -66,7 +66,7 @@
     std::size_t size() const;
 
 private:
-    static constexpr std::size_t priorities = 2;
+    static constexpr std::size_t priorities = 3;
 
     struct place
     {
--- a/src/routing/permit.h
+++ b/src/routing/permit.h
@@ -64,8 +64,8 @@
     int prompt_tokens = 0;
     int tokens = 0;
     runtime_clock::duration decode_time{};
-    /// From the end of the prefill to the first token.
-    runtime_clock::duration start_time{};
+    /// From the start of the prefill to the first token.
+    runtime_clock::duration service_time{};
     std::vector<std::string> failed;
     std::vector<std::string> died;
     std::uint64_t fingerprint = 0;
--- a/src/routing/permit_wire.cpp
+++ b/src/routing/permit_wire.cpp
@@ -18,6 +18,14 @@
     return static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::microseconds>(span).count());
 }
 
+client_priority priority_of(std::int32_t number)
+{
+    if (number == static_cast<std::int32_t>(client_priority::resumed))
+        return client_priority::resumed;
+    const bool is_batch = number == static_cast<std::int32_t>(client_priority::batch);
+    return is_batch ? client_priority::batch : client_priority::interactive;
+}
+
 /// Returns the error kind of a name; an unknown name counts as overloaded, which promises nothing.
 error_kind kind_of(const std::string& name)
 {
@@ -79,7 +87,7 @@
     message.prompt_tokens = release.prompt_tokens;
     message.tokens = release.tokens;
     message.decode_us = to_us32(release.decode_time);
-    message.start_us = to_us32(release.start_time);
+    message.service_us = to_us32(release.service_time);
     message.failed = release.failed;
     message.died = release.died;
     message.fingerprint = static_cast<std::int64_t>(release.fingerprint);
@@ -114,7 +122,7 @@
     ask.key = {message.request, message.attempt};
     ask.holder = holder;
     ask.client = message.client;
-    ask.priority = message.priority == 0 ? client_priority::interactive : client_priority::batch;
+    ask.priority = priority_of(message.priority);
     ask.prompt_tokens = message.prompt_tokens;
     ask.answer_tokens = message.answer_tokens;
     ask.prefix = static_cast<std::uint64_t>(message.prefix);
@@ -147,7 +155,7 @@
     release.prompt_tokens = message.prompt_tokens;
     release.tokens = message.tokens;
     release.decode_time = std::chrono::microseconds{message.decode_us};
-    release.start_time = std::chrono::microseconds{message.start_us};
+    release.service_time = std::chrono::microseconds{message.service_us};
     release.failed = message.failed;
     release.died = message.died;
     release.fingerprint = static_cast<std::uint64_t>(message.fingerprint);
--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -46,7 +46,7 @@
   8: list<string> died
   9: i64 fingerprint
   10: i32 prompt_tokens
-  11: i32 start_us
+  11: i32 service_us
 }
 
 // The prefill endpoint has handed its result over; its slot is free again.
--- a/tests/unit/test_cell.cpp
+++ b/tests/unit/test_cell.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(slots_are_never_overfilled);
     CPPUNIT_TEST(hopeless_request_is_refused_at_once);
     CPPUNIT_TEST(waiting_request_is_refused_when_its_time_is_over);
+    CPPUNIT_TEST(request_past_its_time_is_not_granted);
     CPPUNIT_TEST(unreported_endpoint_gets_nothing);
     CPPUNIT_TEST(leaving_host_gets_nothing);
     CPPUNIT_TEST(lost_holder_is_cancelled_after_its_grace);
@@ -129,6 +130,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, all<permit_refusal>(tested.tick(start + 1s)).size());
     }
 
+    void request_past_its_time_is_not_granted()
+    {
+        cell tested = ready_cell(1, 1, 5);
+        tested.ask(ask_of("1"), start);
+        tested.ask(ask_of("2"), start);
+        const auto decisions = tested.prefill_done({"h1:1:1", 1}, 1ms, start + 1s);
+        CPPUNIT_ASSERT(all<permit_grant>(decisions).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, all<permit_refusal>(decisions).size());
+    }
+
     void unreported_endpoint_gets_nothing()
     {
         cell tested = ready_cell();
