--- a/src/broker/cells_duty.cpp
+++ b/src/broker/cells_duty.cpp
@@ -530,8 +530,12 @@
 
 fleet_view cells_duty::current_view() const
 {
+    // Owners are chosen within a region, so that the others' members need not be sent.
     fleet_view view;
-    view.members = this->members;
+    for (const member& known : this->members) {
+        if (known.region == this->settings.region)
+            view.members.push_back(known);
+    }
     for (const listed_host& host : this->listed) {
         if (host.is_leaving)
             view.leaving.push_back(host.address);
--- a/src/platform/claim_store.cpp
+++ b/src/platform/claim_store.cpp
@@ -51,8 +51,35 @@
     return name == "not_run" ? claim_status::not_run : claim_status::in_progress;
 }
 
+std::optional<claim_record> record_in(const std::optional<kv_entry>& entry)
+{
+    return entry ? std::optional{parse_claim(entry->value)} : std::nullopt;
+}
+
+std::int64_t index_of(const std::optional<kv_entry>& entry)
+{
+    return entry ? entry->modify_index : 0;
+}
+
+plain_event::any taken_by(const claim_record& record)
+{
+    return plain_event::claim_taken{record};
+}
+
 } // namespace
 
+claim_verdict judge_claim(const claim_wish& wish, const std::optional<claim_record>& record, std::int64_t index)
+{
+    using step = claim_verdict::next_step;
+    if (!record)
+        return {step::write_again, 0};
+    if (record->owner == wish.owner && record->status == claim_status::in_progress)
+        return {step::claimed, index};
+    if (record->status == claim_status::not_run)
+        return {step::write_again, index};
+    return {step::taken, index};
+}
+
 claim_store::claim_store(kv_client& store) : store(store) {}
 
 std::string claim_store::key_of(const claim_wish& wish)
@@ -76,17 +103,15 @@
             co_return plain_event::claimed{};
         // Either somebody else holds the key, or the answer to our own write was lost.
         const auto found = co_await this->store.get(key);
-        if (found && found->has_value()) {
-            const claim_record record = parse_claim((*found)->value);
-            if (record.owner == wish.owner && record.status == claim_status::in_progress)
+        if (found) {
+            const auto record = record_in(*found);
+            const claim_verdict verdict = judge_claim(wish, record, index_of(*found));
+            if (verdict.next == claim_verdict::next_step::claimed)
                 co_return plain_event::claimed{};
-            if (record.status != claim_status::not_run)
-                co_return plain_event::claim_taken{record};
-            index = (*found)->modify_index;
-            continue;
+            if (verdict.next == claim_verdict::next_step::taken)
+                co_return taken_by(*record);
+            index = verdict.index;
         }
-        if (found)
-            index = 0;
         co_await pause_for(pause);
         pause = std::min(pause * 2, longest_pause);
     }
--- a/src/platform/claim_store.h
+++ b/src/platform/claim_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -24,6 +25,21 @@
     bool operator==(const claim_wish&) const = default;
 };
 
+/// What a claim's owner-to-be does next, once it has read who holds the key.
+struct claim_verdict
+{
+    enum class next_step { claimed, taken, write_again };
+
+    next_step next = next_step::write_again;
+    /// The version that the next write has to name.
+    std::int64_t index = 0;
+
+    bool operator==(const claim_verdict&) const = default;
+};
+
+/// Returns the verdict on a key whose record and version are given, none when there is no record.
+claim_verdict judge_claim(const claim_wish& wish, const std::optional<claim_record>& record, std::int64_t index);
+
 /// Claims in the key-value service: the right to run a non-idempotent call, given at most once a key.
 /// A claim is created before the first byte of the call leaves; its outcome is written after.
 class claim_store
