Never deny a prefill that was lost before it was refused

Cause: the exploration found an untrue not_run in 30 states: a prefill call is lost, asked for again, and the second call meets a closed port; the machine then forgot the first call. Result: no violation; planted faults are still found.

--- a/src/routing/request_machine.cpp
+++ b/src/routing/request_machine.cpp
@@ -56,6 +56,7 @@
             return;
         }
         // The endpoint knows the job by its name and does not read the prompt twice.
+        this->state.reached_endpoint = true;
         --this->state.resumes_left;
         this->add(effect::start_prefill{this->state.attempt, this->state.prefill});
     }
