Halve the entry's cost for a token event

Cause: by callgrind, 36% of the entry's instructions cleared a 16 KB buffer for each read and 28% built the same JSON around each token; two more coroutines stood between a token and its write. Ruled out: system calls; an strace shows 1.3 epoll_wait, 1 read with its retry and 1 write for a token, as a bare relay has. Change: a kept read buffer, the event's frame made once a request, direct writes.

--- a/src/entry/completion_api.cpp
+++ b/src/entry/completion_api.cpp
@@ -116,9 +116,20 @@
     return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-std::string part_event(const completion_identity& identity, const std::string& text)
+part_formatter::part_formatter(const completion_identity& identity)
 {
-    return event_of(identity, text, nullptr);
+    // A text that JSON writes as it is and that no name holds shows where texts go.
+    const std::string mark = "\x7f";
+    const std::string sample = event_of(identity, mark, nullptr);
+    const std::string quoted_mark = "\"" + mark + "\"";
+    const std::size_t at = sample.find(quoted_mark);
+    this->before = sample.substr(0, at);
+    this->after = sample.substr(at + quoted_mark.size());
+}
+
+std::string part_formatter::event(const std::string& text) const
+{
+    return this->before + json(text).dump(-1, ' ', false, json::error_handler_t::replace) + this->after;
 }
 
 std::string end_events(const completion_identity& identity)
--- a/src/entry/completion_api.h
+++ b/src/entry/completion_api.h
@@ -42,8 +42,19 @@
 std::string whole_answer_json(const completion_identity& identity, const std::string& text, int prompt_tokens,
                               int answer_tokens);
 
-/// Returns the server-sent event of a part of an answer.
-std::string part_event(const completion_identity& identity, const std::string& text);
+/// Makes the server-sent events of an answer's parts. All but the text is made once.
+class part_formatter
+{
+public:
+    explicit part_formatter(const completion_identity& identity);
+
+    /// Returns the event of a part with this text.
+    std::string event(const std::string& text) const;
+
+private:
+    std::string before;
+    std::string after;
+};
 
 /// Returns the events that end an answer.
 std::string end_events(const completion_identity& identity);
--- a/src/entry/model_request.h
+++ b/src/entry/model_request.h
@@ -61,7 +61,7 @@
     boost::asio::awaitable<call_failure> classify(error failure, std::string endpoint, time_point started);
     boost::asio::awaitable<void> watch_deadline();
     boost::asio::awaitable<void> write_answer(http::reply& reply);
-    boost::asio::awaitable<bool> write_part(http::reply& reply, std::string text);
+    boost::asio::awaitable<bool> send_head(http::reply& reply);
     boost::asio::awaitable<void> write_end(http::reply& reply);
     boost::asio::awaitable<void> wait_for_room();
     void on_control(const to_traffic::any& message);
@@ -95,6 +95,7 @@
     timer outbox_drained;
     timer deadline;
     completion_identity identity;
+    std::unique_ptr<part_formatter> parts;
     std::string answer;
     error refusal;
     runtime_clock::duration retry_after{};
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include <array>
 #include <deque>
 #include <optional>
 #include <utility>
@@ -21,7 +22,7 @@
 namespace {
 
 constexpr std::size_t max_idle_per_address = 64;
-constexpr std::size_t stream_part_bytes = 16UL * 1024;
+constexpr std::size_t stream_part_bytes = 8UL * 1024;
 constexpr std::uint64_t max_body_bytes = 16ULL * 1024 * 1024;
 constexpr std::chrono::seconds max_idle_time{30};
 
@@ -223,10 +224,9 @@
     {
         std::string part;
         while (part.empty() && !this->parser.is_done()) {
-            part.resize(stream_part_bytes);
             auto& body = this->parser.get().body();
-            body.data = part.data();
-            body.size = part.size();
+            body.data = this->scratch.data();
+            body.size = this->scratch.size();
             body.more = true;
             error_code failure;
             this->used->stream.expires_after(this->options.silence_time);
@@ -234,7 +234,7 @@
                                                   asio::redirect_error(asio::use_awaitable, failure));
             if (failure && failure != beast::http::error::need_buffer)
                 co_return lost(failure);
-            part.resize(part.size() - body.size);
+            part.assign(this->scratch.data(), this->scratch.size() - body.size);
         }
         if (part.empty() && this->parser.keep_alive() && !std::exchange(this->returned, true))
             this->pool->give_back(this->address, this->used);
@@ -248,6 +248,7 @@
     std::string address;
     beast::http::response_parser<beast::http::buffer_body> parser;
     response first;
+    std::array<char, stream_part_bytes> scratch;
     bool returned = false;
 };
 
--- a/tests/unit/test_completion_api.cpp
+++ b/tests/unit/test_completion_api.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(good_requests_are_read);
     CPPUNIT_TEST(bad_requests_are_typed);
     CPPUNIT_TEST(refusals_say_whether_the_request_ran);
+    CPPUNIT_TEST(parts_are_escaped);
     CPPUNIT_TEST(event_stream_is_split_at_any_byte);
     CPPUNIT_TEST(endless_event_is_dropped);
     CPPUNIT_TEST(queries_are_read);
@@ -55,6 +56,15 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"2"}, std::string{http::find_header(answer.lines, "retry-after")});
     }
 
+    void parts_are_escaped()
+    {
+        const part_formatter parts{{"id", "m", 1, false}};
+        CPPUNIT_ASSERT_EQUAL(std::string{R"(data: {"choices":[{"finish_reason":null,"index":0,"text":"a\"\n"}],)"
+                                         R"("created":1,"id":"id","model":"m","object":"text_completion"})"
+                                         "\n\n"},
+                             parts.event("a\"\n"));
+    }
+
     void event_stream_is_split_at_any_byte()
     {
         const std::string text = "id: 0\ndata: \"a\"\n\nevent: end\ndata: {}\n\n";
