Revert "Grant decode slots that will be free when the prompt is read"

Not ruled out: that waiting at the decode engine widens the learned way to the first token, so that more is refused early. Conclusion: reverted.

--- a/src/routing/cell.cpp
+++ b/src/routing/cell.cpp
@@ -9,9 +9,6 @@
 
 using duration = runtime_clock::duration;
 
-/// At most so many requests are granted to a decode endpoint for slots that are not free yet.
-constexpr int max_early_grants = 2;
-
 constexpr std::size_t max_prefix_homes = 50'000;
 
 /// A prefill endpoint that holds the prompt's prefix saves about this part of the reading.
@@ -82,7 +79,6 @@
         state.used = 0;
         state.blocks_used = 0;
         state.reading.clear();
-        state.writing.clear();
         state.uncovered.clear();
     }
 }
@@ -173,7 +169,6 @@
         return decisions;
     permit_state& permit = found->second;
     permit.prefill_done = true;
-    permit.prefilled_at = now;
     const auto state = this->states.find(permit.prefill);
     if (state != this->states.end()) {
         end_reading(state->second, key);
@@ -204,7 +199,6 @@
         permit.decode = held.decode;
         permit.prefill_done = held.prefill_done;
         permit.granted_at = now;
-        permit.prefilled_at = now;
         this->take(std::move(permit));
     }
     std::vector<permit_key> gone;
@@ -325,33 +319,15 @@
     return endpoint.config.slots - endpoint.used - uncovered;
 }
 
-int cell::free_slots_by(const endpoint_state& endpoint, time_point at, time_point now) const
-{
-    const int free_now = this->free_slots(endpoint);
-    if (free_now > 0 || free_now <= -max_early_grants)
-        return free_now;
-    const duration pace = this->token_time(endpoint, now);
-    const auto ends_before = [&](const permit_key& key) {
-        const permit_state& permit = this->permits.at(key);
-        return permit.prefill_done && permit.prefilled_at + pace * permit.ask.answer_tokens <= at;
-    };
-    const auto ending = std::count_if(endpoint.writing.begin(), endpoint.writing.end(), ends_before);
-    return free_now + static_cast<int>(ending);
-}
-
 bool cell::may_run(const endpoint_state& endpoint, const permit_ask& wish, time_point now) const
 {
-    if (!this->is_usable(endpoint))
+    if (!this->is_usable(endpoint) || this->free_slots(endpoint) <= 0)
         return false;
     if (contains(wish.avoid, endpoint.config.name) && this->has_alternative(endpoint.config.role, wish))
         return false;
-    return this->has_memory(endpoint, wish) && !this->is_poison_held_back(wish, endpoint.config, now);
-}
-
-bool cell::has_memory(const endpoint_state& endpoint, const permit_ask& wish) const
-{
-    const int blocks = endpoint.config.blocks;
-    return blocks == 0 || endpoint.blocks_used + this->blocks_for(wish) <= blocks;
+    const bool has_memory =
+        endpoint.config.blocks == 0 || endpoint.blocks_used + this->blocks_for(wish) <= endpoint.config.blocks;
+    return has_memory && !this->is_poison_held_back(wish, endpoint.config, now);
 }
 
 bool cell::has_alternative(endpoint_role role, const permit_ask& wish) const
@@ -383,8 +359,7 @@
     endpoint_state* best = nullptr;
     duration best_time{};
     for (auto& [name, state] : this->states) {
-        const bool is_free = state.config.role == endpoint_role::prefill && this->free_slots(state) > 0;
-        if (!is_free || !this->may_run(state, wish, now))
+        if (state.config.role != endpoint_role::prefill || !this->may_run(state, wish, now))
             continue;
         const duration time = this->prefill_time(state, wish, now);
         if (best != nullptr && time >= best_time)
@@ -395,14 +370,12 @@
     return best;
 }
 
-cell::endpoint_state* cell::pick_decode(const permit_ask& wish, time_point ready_at, time_point now)
+cell::endpoint_state* cell::pick_decode(const permit_ask& wish, time_point now)
 {
     std::vector<std::pair<endpoint_state*, duration>> candidates;
     duration best_pace = duration::max();
     for (auto& [name, state] : this->states) {
-        const bool is_free =
-            state.config.role == endpoint_role::decode && this->free_slots_by(state, ready_at, now) > 0;
-        if (!is_free || !this->may_run(state, wish, now))
+        if (state.config.role != endpoint_role::decode || !this->may_run(state, wish, now))
             continue;
         const duration pace = this->token_time(state, now);
         best_pace = std::min(best_pace, pace);
@@ -522,7 +495,6 @@
     const auto decode = this->states.find(permit.decode);
     if (decode != this->states.end()) {
         ++decode->second.used;
-        decode->second.writing.insert(permit.ask.key);
         decode->second.blocks_used += permit.blocks;
         decode->second.uncovered.erase(job_name(permit.ask.key));
     }
@@ -540,7 +512,6 @@
     const auto decode = this->states.find(permit.decode);
     if (decode != this->states.end()) {
         --decode->second.used;
-        decode->second.writing.erase(key);
         decode->second.blocks_used -= permit.blocks;
     }
     const auto copies = this->by_fingerprint.find(permit.ask.fingerprint);
@@ -575,10 +546,7 @@
         endpoint_state* decode = nullptr;
         const auto fits = [&](const waiting_ask& entry) {
             prefill = this->pick_prefill(entry.ask, now);
-            if (prefill == nullptr)
-                return false;
-            const time_point ready_at = now + this->prefill_time(*prefill, entry.ask, now);
-            decode = this->pick_decode(entry.ask, ready_at, now);
+            decode = prefill == nullptr ? nullptr : this->pick_decode(entry.ask, now);
             return decode != nullptr;
         };
         const std::optional<waiting_ask> next = this->queue.take_first(fits);
--- a/src/routing/cell.h
+++ b/src/routing/cell.h
@@ -125,7 +125,6 @@
         int used = 0;
         int blocks_used = 0;
         std::set<permit_key> reading;
-        std::set<permit_key> writing;
         std::map<std::string, time_point> uncovered;
     };
     struct permit_state
@@ -137,20 +136,15 @@
         int blocks = 0;
         runtime_clock::duration predicted_prefill{};
         time_point granted_at;
-        time_point prefilled_at;
         std::optional<time_point> orphaned_at;
     };
 
     void add_endpoint(const endpoint_config& config);
     bool is_usable(const endpoint_state& endpoint) const;
     int free_slots(const endpoint_state& endpoint) const;
-    /// Returns how many slots will be free by `at`: those free now and those of answers that reach their
-    /// longest length before.
-    int free_slots_by(const endpoint_state& endpoint, time_point at, time_point now) const;
     bool may_run(const endpoint_state& endpoint, const permit_ask& wish, time_point now) const;
-    bool has_memory(const endpoint_state& endpoint, const permit_ask& wish) const;
     endpoint_state* pick_prefill(const permit_ask& wish, time_point now);
-    endpoint_state* pick_decode(const permit_ask& wish, time_point ready_at, time_point now);
+    endpoint_state* pick_decode(const permit_ask& wish, time_point now);
     runtime_clock::duration prefill_time(const endpoint_state& endpoint, const permit_ask& wish, time_point now) const;
     runtime_clock::duration expected_excess() const;
     runtime_clock::duration best_prefill_time(const permit_ask& wish, time_point now) const;
