--- a/src/broker/cells_duty.cpp
+++ b/src/broker/cells_duty.cpp
@@ -15,6 +15,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/pause.h"
 #include "http/server.h"
 #include "membership/member_wire.h"
 #include "routing/permit_wire.h"
@@ -41,14 +42,6 @@
 /// So many hosts of a region keep a watch on the configuration; the others hear of it by gossip.
 constexpr std::size_t watchers_per_region = 3;
 
-asio::awaitable<void> pause_for(asio::io_context& context, milliseconds span)
-{
-    timer pause{context};
-    pause.expires_after(span);
-    boost::system::error_code ignored;
-    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 http::request cancel_order(const std::string& job)
 {
     return http::json_request("POST", "/v1/cancel", nlohmann::json{{"job", job}}.dump());
@@ -283,7 +276,7 @@
             next_status = now + status_time;
             this->refresh_status();
         }
-        co_await pause_for(this->context, tick_time);
+        co_await pause_for(tick_time);
     }
 }
 
@@ -294,7 +287,7 @@
             for (const endpoint_config& endpoint : owned.endpoint_configs())
                 asio::co_spawn(this->context, this->probe(name, endpoint), asio::detached);
         }
-        co_await pause_for(this->context, this->settings.probe_time);
+        co_await pause_for(this->settings.probe_time);
     }
 }
 
@@ -402,7 +395,7 @@
     link->send(question);
     const time_point give_up_at = runtime_clock::now() + fetch_time;
     while (link->is_open() && this->config_version == had && runtime_clock::now() < give_up_at)
-        co_await pause_for(this->context, tick_time);
+        co_await pause_for(tick_time);
     link->close();
     this->fetching = false;
 }
@@ -521,9 +514,9 @@
     log_state("draining", {{"cells", std::to_string(this->cells.size())}});
     this->membership.push(to_membership::leave{});
     const time_point give_up_at = runtime_clock::now() + leave_time;
-    co_await pause_for(this->context, leave_time);
+    co_await pause_for(leave_time);
     while (!this->cells.empty() && this->members.size() > 1 && runtime_clock::now() < give_up_at)
-        co_await pause_for(this->context, tick_time);
+        co_await pause_for(tick_time);
     log_state("drained", {{"cells", std::to_string(this->cells.size())}});
     this->context.stop();
 }
--- a/src/broker/membership_duty.cpp
+++ b/src/broker/membership_duty.cpp
@@ -14,6 +14,7 @@
 #include "base/event_log.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/pause.h"
 #include "membership/member_wire.h"
 #include "wire/codec.h"
 #include "wire/generated/radishstep_types.h"
@@ -114,15 +115,12 @@
 
 asio::awaitable<void> membership_duty::tick_loop()
 {
-    timer pause{this->context};
     while (true) {
         this->send(this->table.tick(runtime_clock::now()));
         if (runtime_clock::now() >= this->joined_at)
             this->send(this->table.finish_joining());
         this->publish();
-        pause.expires_after(tick_time);
-        boost::system::error_code ignored;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pause_for(tick_time);
     }
 }
 
--- a/src/broker/platform_duty.cpp
+++ b/src/broker/platform_duty.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/log.h"
+#include "base/pause.h"
 #include "config/config_document.h"
 
 namespace radishstep {
@@ -56,7 +57,7 @@
     milliseconds pause = shortest_pause;
     while (true) {
         if (!this->watching) {
-            co_await this->pause_for(longest_pause);
+            co_await pause_for(longest_pause);
             continue;
         }
         const auto found = co_await this->store.watch(config_head_key, index, watch_time);
@@ -65,7 +66,7 @@
             log_state(is_down ? "key_value_down" : "key_value_up", {});
         }
         if (!found || !found->has_value()) {
-            co_await this->pause_for(pause);
+            co_await pause_for(pause);
             pause = std::min(pause * 2, longest_pause);
             continue;
         }
@@ -92,16 +93,8 @@
             this->membership.push(seeds);
             this->cells.push(to_cells::host_list{last});
         }
-        co_await this->pause_for(host_list_period);
+        co_await pause_for(host_list_period);
     }
 }
 
-asio::awaitable<void> platform_duty::pause_for(milliseconds span)
-{
-    timer pause{this->context};
-    pause.expires_after(span);
-    boost::system::error_code ignored;
-    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace radishstep
--- a/src/broker/platform_duty.h
+++ b/src/broker/platform_duty.h
@@ -31,7 +31,6 @@
 private:
     boost::asio::awaitable<void> watch_config();
     boost::asio::awaitable<void> poll_hosts();
-    boost::asio::awaitable<void> pause_for(milliseconds span);
 
     membership_ring& membership;
     cells_ring& cells;
--- a/src/entry/broker_control.cpp
+++ b/src/entry/broker_control.cpp
@@ -16,6 +16,7 @@
 #include "base/event_log.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/pause.h"
 #include "config/config_document.h"
 #include "http/server.h"
 #include "membership/member_wire.h"
@@ -391,14 +392,11 @@
 
 asio::awaitable<void> broker_control::tick_loop()
 {
-    timer pause{this->context};
     while (true) {
         this->drain_inbox();
         this->keep_links();
         this->expire_asks();
-        pause.expires_after(tick_time);
-        boost::system::error_code ignored;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pause_for(tick_time);
     }
 }
 
@@ -426,15 +424,12 @@
 
 asio::awaitable<void> broker_control::poll_loads()
 {
-    timer pause{this->context};
     while (this->settings.policy == admission_policy::least_reported) {
         for (const pool_config& pool : this->site.pools) {
             for (const endpoint_config& endpoint : pool.endpoints)
                 asio::co_spawn(this->context, this->poll_load(endpoint, pool.name), asio::detached);
         }
-        pause.expires_after(load_poll_time);
-        boost::system::error_code ignored;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pause_for(load_poll_time);
     }
 }
 
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -13,6 +13,7 @@
 #include "base/event_log.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/pause.h"
 #include "entry/completion_api.h"
 #include "entry/model_request.h"
 #include "entry/plain_call.h"
@@ -33,14 +34,6 @@
     return refusal_response(reason, false, "", 0);
 }
 
-asio::awaitable<void> pause_for(asio::io_context& context, milliseconds span)
-{
-    timer pause{context};
-    pause.expires_after(span);
-    boost::system::error_code ignored;
-    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 entry_server::entry_server(const entry_settings& settings, std::int64_t incarnation, control_ring& control,
@@ -254,17 +247,17 @@
     process_events().record("draining", "", "");
     log_state("draining", {{"in_progress", std::to_string(this->running_requests)}});
     // The balancer needs a moment to see that this host is not ready any more.
-    co_await pause_for(this->context, this->settings.drain_notice);
+    co_await pause_for(this->settings.drain_notice);
     this->server->drain();
     const time_point give_up_at = runtime_clock::now() + this->settings.drain_time;
     while (runtime_clock::now() < give_up_at) {
         const bool is_done = this->running_requests == 0 && this->shared.open_records == 0;
         if (is_done)
             break;
-        co_await pause_for(this->context, drain_poll);
+        co_await pause_for(drain_poll);
     }
     // Answers that were just finished leave the socket, and the last releases the control duty.
-    co_await pause_for(this->context, drain_poll * 5);
+    co_await pause_for(drain_poll * 5);
     log_state("drained", {{"in_progress", std::to_string(this->running_requests)}});
     this->context.stop();
 }
--- a/src/entry/model_request.cpp
+++ b/src/entry/model_request.cpp
@@ -13,6 +13,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/pause.h"
 #include "base/text.h"
 #include "entry/traffic_context.h"
 #include "http/event_stream.h"
@@ -326,7 +327,6 @@
     if (failure.kind == error_kind::not_sent)
         co_return call_failure::not_reached;
     // A process that is ending may still take a connection and drop it; ask again until it is clear.
-    timer pause{this->shared.executor};
     for (int i = 0; i < classify_tries; ++i) {
         http::call_options options;
         options.connect_time = classify_time;
@@ -341,9 +341,7 @@
             co_return call_failure::died;
         if (answer.error().kind == error_kind::timed_out)
             co_return call_failure::lost;
-        pause.expires_after(classify_pause);
-        boost::system::error_code ignored;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pause_for(classify_pause);
     }
     co_return call_failure::lost;
 }
@@ -351,7 +349,6 @@
 asio::awaitable<void> model_request::cancel(int attempt, std::string endpoint)
 {
     // What these tries miss, the broker finds when it next asks the endpoint what it holds.
-    timer pause{this->shared.executor};
     for (int i = 0; i < cancel_tries; ++i) {
         http::request order = this->cancel_order(attempt);
         http::call_options options;
@@ -361,9 +358,7 @@
             co_await this->shared.calls.call(this->shared.address_of(endpoint), std::move(order), options);
         if (answer && answer->status == status_ok)
             co_return;
-        pause.expires_after(cancel_pause);
-        boost::system::error_code ignored;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pause_for(cancel_pause);
     }
     count("radishstep_cancels_failed_total", {{"endpoint", endpoint}});
 }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -124,7 +124,7 @@
     {
         auto& queue = this->kept[address];
         while (!queue.empty()) {
-            const connection_ptr candidate = queue.back();
+            connection_ptr candidate = queue.back();
             queue.pop_back();
             const bool is_fresh = candidate->idle_since + max_idle_time > runtime_clock::now();
             if (is_fresh && is_still_usable(*candidate))
--- a/src/platform/claim_store.cpp
+++ b/src/platform/claim_store.cpp
@@ -9,6 +9,7 @@
 
 #include "base/hash.h"
 #include "base/metrics.h"
+#include "base/pause.h"
 #include "base/text.h"
 #include "platform/kv_client.h"
 
@@ -23,14 +24,6 @@
 constexpr milliseconds first_pause{20};
 constexpr milliseconds longest_pause{2'000};
 
-asio::awaitable<void> pause_for(milliseconds span)
-{
-    timer pause{co_await asio::this_coro::executor};
-    pause.expires_after(span);
-    boost::system::error_code ignored;
-    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 std::string status_name(claim_status status)
 {
     switch (status) {
--- a/src/radishctl/config_commands.cpp
+++ b/src/radishctl/config_commands.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include "base/pause.h"
 #include "base/runtime_clock.h"
 #include "base/text.h"
 #include "config/config_document.h"
@@ -33,14 +34,6 @@
     std::int64_t index = 0;
 };
 
-asio::awaitable<void> pause_for(asio::io_context& io, milliseconds span)
-{
-    timer pause{io};
-    pause.expires_after(span);
-    boost::system::error_code ignored;
-    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 result<std::string> read_file(const std::string& path)
 {
     std::ifstream file{path, std::ios::binary};
@@ -163,7 +156,7 @@
         if (runtime_clock::now() >= give_up_at) {
             co_return report_behind(version, behind);
         }
-        co_await pause_for(context.io, wait_pause);
+        co_await pause_for(wait_pause);
     }
 }
 
@@ -231,7 +224,7 @@
     print_difference(head->document, *document);
     for (int i = 0; i < apply_tries; ++i) {
         if (i > 0)
-            co_await pause_for(context.io, retry_pause);
+            co_await pause_for(retry_pause);
         const auto kept = co_await keep_history(context, head->document);
         if (!kept)
             continue;
--- a/src/routing/cell.cpp
+++ b/src/routing/cell.cpp
@@ -290,6 +290,7 @@
 std::vector<endpoint_view> cell::endpoints(time_point now) const
 {
     std::vector<endpoint_view> views;
+    views.reserve(this->states.size());
     for (const auto& [name, state] : this->states) {
         views.push_back({name, state.config.role, this->is_usable(state), state.config.slots, state.used,
                          this->token_time(state, now)});
@@ -300,6 +301,7 @@
 std::vector<endpoint_config> cell::endpoint_configs() const
 {
     std::vector<endpoint_config> configs;
+    configs.reserve(this->states.size());
     for (const auto& [name, state] : this->states)
         configs.push_back(state.config);
     return configs;
--- a/src/routing/permit_wire.cpp
+++ b/src/routing/permit_wire.cpp
@@ -165,6 +165,7 @@
 std::vector<open_permit> permits_from_wire(const Reassert& message, const std::string& holder)
 {
     std::vector<open_permit> permits;
+    permits.reserve(message.permits.size());
     for (const OpenPermit& open : message.permits)
         permits.push_back({from_wire(open.ask, holder), open.prefill, open.decode, open.prefill_done});
     return permits;
@@ -173,6 +174,7 @@
 std::vector<poison_strike> strikes_from_wire(const Reassert& message)
 {
     std::vector<poison_strike> strikes;
+    strikes.reserve(message.strikes.size());
     for (const Strike& told : message.strikes)
         strikes.push_back({static_cast<std::uint64_t>(told.fingerprint), told.deaths});
     return strikes;
--- a/tests/bench/capacity_main.cpp
+++ b/tests/bench/capacity_main.cpp
@@ -4,9 +4,8 @@
 #include <iostream>
 #include <string>
 
-#include <sys/resource.h>
-
 #include "config/config_reader.h"
+#include "cpu_time.h"
 #include "load/load_report.h"
 #include "membership/member_table.h"
 #include "membership/member_wire.h"
@@ -22,21 +21,11 @@
 
 constexpr double us_per_s = 1e6;
 
-double cpu_seconds()
-{
-    rusage usage{};
-    getrusage(RUSAGE_THREAD, &usage);
-    const auto seconds = [](const timeval& time) {
-        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / us_per_s;
-    };
-    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
-}
-
 double cpu_of(const std::function<void()>& work)
 {
-    const double before = cpu_seconds();
+    const double before = thread_cpu_seconds();
     work();
-    return cpu_seconds() - before;
+    return thread_cpu_seconds() - before;
 }
 
 void print(const std::string& name, double value, const std::string& unit)
--- a/tests/bench/cost_bench.cpp
+++ b/tests/bench/cost_bench.cpp
@@ -5,8 +5,6 @@
 #include <thread>
 #include <vector>
 
-#include <sys/resource.h>
-
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "cpu_time.h"
 #include "load/load_report.h"
 #include "routing/cell.h"
 #include "site.h"
@@ -35,16 +34,6 @@
 constexpr int event_bytes = 64;
 constexpr double us_per_s = 1e6;
 
-double thread_cpu_seconds()
-{
-    rusage usage{};
-    getrusage(RUSAGE_THREAD, &usage);
-    const auto seconds = [](const timeval& time) {
-        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / us_per_s;
-    };
-    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
-}
-
 cell full_cell(time_point now)
 {
     pool_config pool;
@@ -133,7 +122,7 @@
     out.set_option(asio::ip::tcp::no_delay{true});
     asio::co_spawn(ends, send_events(source), asio::detached);
     auto drain = [&sink]() -> asio::awaitable<void> {
-        std::string all(event_bytes * 1'024, ' ');
+        std::string all(std::size_t{event_bytes} * 1'024, ' ');
         std::size_t left = static_cast<std::size_t>(relay_events) * event_bytes;
         while (left > 0)
             left -= co_await sink.async_read_some(asio::buffer(all), asio::use_awaitable);
--- a/tests/holds/main.cpp
+++ b/tests/holds/main.cpp
@@ -14,7 +14,7 @@
     if (test.getName().ends_with("::" + name))
         return test.getName();
     for (int i = 0; i < test.getChildTestCount(); ++i) {
-        const std::string found = find_case(*test.getChildTestAt(i), name);
+        std::string found = find_case(*test.getChildTestAt(i), name);
         if (!found.empty())
             return found;
     }
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -74,7 +74,7 @@
     this->note_seen(job);
     this->crash_if_poisoned(prompt);
     while (this->reading.contains(job))
-        co_await sleep_for(poll_time);
+        co_await pause_for(poll_time);
     if (const auto known = this->results.find(job); known != this->results.end()) {
         known->second.expires_at = runtime_clock::now() + this->options.evict_time;
         const http::response again = json_answer(200, {{"tokens", known->second.tokens}});
@@ -83,7 +83,7 @@
     }
     ++this->waiting;
     while (static_cast<int>(this->reading.size()) >= this->options.slots)
-        co_await sleep_for(poll_time);
+        co_await pause_for(poll_time);
     --this->waiting;
     this->reading.insert(job);
     const int tokens = token_count(prompt) + body.value("answered_tokens", 0);
@@ -95,7 +95,7 @@
     time_point next = runtime_clock::now();
     for (int done = 0; done < to_read && !this->cancelled.contains(job); done += read_step) {
         next += this->options.prefill_token * std::min(read_step, to_read - done) * this->slow_factor();
-        co_await sleep_for(next - runtime_clock::now());
+        co_await pause_for(next - runtime_clock::now());
     }
     this->reading.erase(job);
     if (this->cancelled.erase(job) > 0) {
@@ -124,8 +124,8 @@
     const prefill_result result = found->second;
     this->results.erase(found);
     while (this->stall_transfers)
-        co_await sleep_for(poll_time);
-    co_await sleep_for(this->options.transfer_token * result.tokens);
+        co_await pause_for(poll_time);
+    co_await pause_for(this->options.transfer_token * result.tokens);
     const http::response answer = json_answer(200, {{"prompt", result.prompt}, {"tokens", result.tokens}});
     co_await reply.send(answer);
 }
@@ -156,7 +156,7 @@
     this->jobs[name] = job;
     ++this->waiting;
     while (this->running >= this->options.slots && !job->cancelled)
-        co_await sleep_for(poll_time);
+        co_await pause_for(poll_time);
     --this->waiting;
     ++this->running;
     const bool imported = !job->cancelled && co_await this->import_result(name, body.value("source", ""));
@@ -186,7 +186,7 @@
     time_point next = runtime_clock::now();
     for (int i = job->first; i < job->total && !job->cancelled; ++i) {
         next += this->options.decode_token * this->slow_factor();
-        co_await sleep_for(next - runtime_clock::now());
+        co_await pause_for(next - runtime_clock::now());
         job->tokens.push_back(answer_token(job->prompt, i));
         ++this->decode_tokens;
     }
@@ -221,7 +221,7 @@
             connected = co_await reply.write(std::move(part));
         if (job->cancelled || (!job->running && next == job->total))
             break;
-        co_await sleep_for(poll_time);
+        co_await pause_for(poll_time);
     }
     if (connected && !job->cancelled)
         connected = co_await reply.write("event: end\ndata: {\"tokens\":" + std::to_string(job->total) + "}\n\n");
--- a/tests/standins/plain_service.cpp
+++ b/tests/standins/plain_service.cpp
@@ -57,7 +57,7 @@
             ++this->runs[key];
         const int run = key.empty() ? 0 : this->runs[key];
         if (this->delay > milliseconds::zero())
-            co_await sleep_for(this->delay);
+            co_await pause_for(this->delay);
         const http::response answer =
             json_answer(200, {{"path", asked.path()}, {"method", asked.method}, {"run", run}});
         co_await reply.send(answer);
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -41,7 +41,7 @@
             co_return;
         }
         if (this->slow > milliseconds::zero())
-            co_await sleep_for(this->slow);
+            co_await pause_for(this->slow);
         if (runtime_clock::now() < this->outage_until) {
             const http::response answer = json_answer(503, {{"error", "outage"}});
             co_await reply.send(answer);
@@ -81,7 +81,7 @@
         }
         if (this->lost_answers > 0) {
             --this->lost_answers;
-            co_await sleep_for(std::chrono::seconds{2});
+            co_await pause_for(std::chrono::seconds{2});
             co_return;
         }
         http::response answer = http::text_response(200, matches ? "true" : "false");
@@ -97,7 +97,7 @@
         const auto span = to_integer(std::string_view{wait}.substr(0, wait.find('m'))).value_or(0);
         const time_point until = runtime_clock::now() + milliseconds{span};
         while (known >= 0 && this->entries[key].index <= known && runtime_clock::now() < until)
-            co_await sleep_for(poll_time);
+            co_await pause_for(poll_time);
         const entry& found = this->stale ? this->earlier[key] : this->entries[key];
         if (found.index == 0) {
             const http::response none = http::json_response(404, "[]");
--- a/tests/standins/standin_server.cpp
+++ b/tests/standins/standin_server.cpp
@@ -6,10 +6,7 @@
 #include <cstdlib>
 #include <iostream>
 
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace radishstep::standin {
 
@@ -34,14 +31,6 @@
     return EXIT_SUCCESS;
 }
 
-asio::awaitable<void> sleep_for(runtime_clock::duration span)
-{
-    timer pause{co_await asio::this_coro::executor};
-    pause.expires_after(span);
-    boost::system::error_code ignored;
-    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 http::response json_answer(unsigned status, const nlohmann::json& body)
 {
     return http::json_response(status, body.dump());
--- a/tests/standins/standin_server.h
+++ b/tests/standins/standin_server.h
@@ -7,7 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
-#include "base/runtime_clock.h"
+#include "base/pause.h"
 #include "http/server.h"
 
 namespace radishstep::standin {
@@ -15,9 +15,6 @@
 /// Serves `handler` on `address` until the process is told to stop; returns the exit code.
 int serve(boost::asio::io_context& context, const std::string& address, http::request_handler handler);
 
-/// Waits for `span` on the caller's executor.
-boost::asio::awaitable<void> sleep_for(runtime_clock::duration span);
-
 /// Returns a JSON response.
 http::response json_answer(unsigned status, const nlohmann::json& body);
 
--- /dev/null
+++ b/tests/support/cpu_time.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace radishstep::testing {
+
+/// Returns the processor time that the calling thread has used, in seconds.
+double thread_cpu_seconds();
+
+} // namespace radishstep::testing
--- a/tests/support/workload.cpp
+++ b/tests/support/workload.cpp
@@ -103,7 +103,7 @@
         else
             co_await one_completion(state, number);
         if (state.options.pause_ms > 0)
-            co_await standin::sleep_for(milliseconds{state.options.pause_ms});
+            co_await pause_for(milliseconds{state.options.pause_ms});
     }
     --state.open;
 }
@@ -117,7 +117,7 @@
             const call_outcome outcome = co_await state.running.calls().plain(address, std::move(question));
             state.ready[static_cast<std::size_t>(host)] = outcome.status == 200;
         }
-        co_await standin::sleep_for(ready_poll);
+        co_await pause_for(ready_poll);
     }
 }
 
@@ -131,7 +131,7 @@
         const auto executor = co_await asio::this_coro::executor;
         for (int i = 0; i < state.options.at_once; ++i)
             asio::co_spawn(executor, send_calls(state), asio::detached);
-        co_await standin::sleep_for(milliseconds{1});
+        co_await pause_for(milliseconds{1});
         co_await poll_readiness(state);
         co_return 0;
     };
