Write a call's outcome before its answer leaves

Ruled out: a lost write; the same key answered properly a moment later. Change: the answer waits for its outcome, 0.25 s at the most, while the writing goes on past that.

--- a/src/entry/plain_call.cpp
+++ b/src/entry/plain_call.cpp
@@ -1,10 +1,13 @@
 #include "entry/plain_call.h"
 
 #include <deque>
+#include <memory>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "base/event_log.h"
 #include "base/hash.h"
@@ -21,6 +24,9 @@
 constexpr std::size_t max_recorded_body_bytes = 256UL * 1024;
 constexpr std::int64_t retry_after_refusal_s = 1;
 
+/// An answer waits so long at the most for its outcome to be written; the writing goes on after that.
+constexpr milliseconds longest_record_wait{250};
+
 plain_event::any answered_by(const http::response& answer)
 {
     return plain_event::answered{answer.status, std::string{http::find_header(answer.lines, "Content-Type")},
@@ -80,7 +86,7 @@
     if (const auto* call = std::get_if<plain_effect::call_endpoint>(&effect))
         co_return co_await this->call_endpoint(call->avoid);
     if (const auto* record = std::get_if<plain_effect::record_outcome>(&effect))
-        this->record_in_background(record->record);
+        co_await this->record(record->record);
     else if (const auto* sent = std::get_if<plain_effect::send_answer>(&effect))
         co_await this->answer(*sent, reply);
     else if (const auto* refusal = std::get_if<plain_effect::refuse_call>(&effect))
@@ -116,16 +122,24 @@
     co_return answered_by(*done);
 }
 
-void plain_call::record_in_background(claim_record outcome)
+asio::awaitable<void> plain_call::record(claim_record outcome)
 {
     if (outcome.body.size() > max_recorded_body_bytes)
-        return;
+        co_return;
     ++this->shared.open_records;
-    auto write = [](traffic_context& shared, claim_wish wish, claim_record record) -> asio::awaitable<void> {
+    const auto written = std::make_shared<timer>(this->shared.executor);
+    written->expires_after(longest_record_wait);
+    auto write = [](traffic_context& shared, claim_wish wish, claim_record record,
+                    std::shared_ptr<timer> done) -> asio::awaitable<void> {
         co_await shared.claims.record(std::move(wish), std::move(record));
         --shared.open_records;
+        done->cancel();
     };
-    asio::co_spawn(this->shared.executor, write(this->shared, this->wish(), std::move(outcome)), asio::detached);
+    asio::co_spawn(this->shared.executor, write(this->shared, this->wish(), std::move(outcome), written),
+                   asio::detached);
+    // A caller that sends the call again at once should find the outcome; a slow store must not hold it up.
+    boost::system::error_code ignored;
+    co_await written->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
 asio::awaitable<void> plain_call::answer(plain_effect::send_answer answer, http::reply& reply)
--- a/src/entry/plain_call.h
+++ b/src/entry/plain_call.h
@@ -34,7 +34,7 @@
 
     next_event perform(const plain_effect::any& effect, http::reply& reply);
     next_event call_endpoint(std::vector<std::string> avoid);
-    void record_in_background(claim_record outcome);
+    boost::asio::awaitable<void> record(claim_record outcome);
     boost::asio::awaitable<void> answer(plain_effect::send_answer answer, http::reply& reply);
     boost::asio::awaitable<void> refuse(plain_effect::refuse_call refusal, http::reply& reply);
     http::request forwarded() const;
--- a/src/routing/plain_call_machine.h
+++ b/src/routing/plain_call_machine.h
@@ -94,7 +94,7 @@
     std::vector<std::string> avoid;
     bool operator==(const call_endpoint&) const = default;
 };
-/// Write the outcome into the claim; failures are retried in the background.
+/// Write the outcome into the claim; what takes long goes on in the background.
 struct record_outcome
 {
     claim_record record;
