--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -9,6 +9,10 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include "base/hash.h"
+#include "base/log_writer.h"
+#include "base/runtime_clock.h"
+
 namespace radishstep {
 
 namespace {
@@ -41,23 +45,37 @@
     return text + "\"";
 }
 
-std::string format_line(std::string_view state, std::initializer_list<log_field> fields)
+std::string format_line(std::string_view what, std::string_view name, std::initializer_list<log_field> fields)
 {
-    std::string line = "state=" + std::string{state};
+    std::string line = std::string{what} + "=" + std::string{name};
     for (const auto& [key, value] : fields)
         line += " " + std::string{key} + "=" + (needs_quotes(value) ? quoted(value) : value);
     return line;
 }
 
-} // namespace
+struct bounded_log
+{
+    std::string process;
+    log_writer writer;
+};
 
-void start_log(const std::string& process, const std::string& level)
+std::unique_ptr<bounded_log>& bounded()
+{
+    static std::unique_ptr<bounded_log> instance;
+    return instance;
+}
+
+void push_bounded(std::string_view level, const std::string& line, bool is_state)
+{
+    std::string stamped = "time_ms=" + std::to_string(wall_clock_ms()) + " level=" + std::string{level} +
+                          " process=" + bounded()->process + " " + line;
+    bounded()->writer.push(std::move(stamped), is_state, runtime_clock::now());
+}
+
+void log_to(bool log_to_stderr, const std::string& pattern, const std::string& level)
 {
-    library();
-    constexpr bool log_to_stderr = true;
     constexpr bool flush_each_line = true;
     log4cplus::SharedAppenderPtr console{new log4cplus::ConsoleAppender{log_to_stderr, flush_each_line}};
-    const std::string pattern = "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p process=" + process + " %m%n";
     console->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
     log4cplus::Logger logger = process_logger();
     logger.removeAllAppenders();
@@ -65,14 +83,53 @@
     logger.setLogLevel(log4cplus::getLogLevelManager().fromString(level));
 }
 
+} // namespace
+
+void start_log(const std::string& process, const std::string& level)
+{
+    library();
+    log_to(true, "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p process=" + process + " %m%n", level);
+}
+
+void start_bounded_log(const std::string& process, const std::string& level)
+{
+    library();
+    log_to(false, "%m%n", level);
+    const auto write = [](const std::string& lines) { LOG4CPLUS_INFO(process_logger(), lines); };
+    bounded() = std::unique_ptr<bounded_log>{new bounded_log{process, {write, log_bounds{}}}};
+}
+
+void stop_bounded_log()
+{
+    bounded() = nullptr;
+}
+
 void log_state(std::string_view state, std::initializer_list<log_field> fields)
 {
-    LOG4CPLUS_INFO(process_logger(), format_line(state, fields));
+    const std::string line = format_line("state", state, fields);
+    if (bounded())
+        return push_bounded("INFO", line, true);
+    LOG4CPLUS_INFO(process_logger(), line);
 }
 
 void log_problem(std::string_view state, std::initializer_list<log_field> fields)
 {
-    LOG4CPLUS_WARN(process_logger(), format_line(state, fields));
+    const std::string line = format_line("state", state, fields);
+    if (bounded())
+        return push_bounded("WARN", line, true);
+    LOG4CPLUS_WARN(process_logger(), line);
+}
+
+void log_decision(std::string_view decision, std::initializer_list<log_field> fields)
+{
+    if (bounded())
+        push_bounded("INFO", format_line("decision", decision, fields), false);
+}
+
+bool is_sampled(std::string_view request_id)
+{
+    constexpr std::uint64_t one_in = 16;
+    return hash64(request_id) % one_in == 0;
 }
 
 } // namespace radishstep
--- a/src/broker/duty_messages.h
+++ b/src/broker/duty_messages.h
@@ -7,7 +7,7 @@
 
 #include "base/bounded_ring.h"
 #include "membership/member.h"
-#include "platform/host_list_client.h"
+#include "keyvalue/host_list_client.h"
 
 namespace radishstep {
 
--- a/src/broker/platform_duty.h
+++ b/src/broker/platform_duty.h
@@ -10,8 +10,8 @@
 #include "broker/broker_settings.h"
 #include "broker/duty_messages.h"
 #include "http/client.h"
-#include "platform/host_list_client.h"
-#include "platform/kv_client.h"
+#include "keyvalue/host_list_client.h"
+#include "keyvalue/kv_client.h"
 
 namespace radishstep {
 
--- a/src/entry/plain_call.h
+++ b/src/entry/plain_call.h
@@ -8,7 +8,7 @@
 #include "config/site_config.h"
 #include "http/message.h"
 #include "http/server.h"
-#include "platform/claim_store.h"
+#include "keyvalue/claim_store.h"
 #include "routing/plain_call_machine.h"
 
 namespace radishstep {
--- a/src/entry/traffic_context.h
+++ b/src/entry/traffic_context.h
@@ -13,8 +13,8 @@
 #include "entry/control_messages.h"
 #include "entry/entry_settings.h"
 #include "http/client.h"
-#include "platform/claim_store.h"
-#include "platform/kv_client.h"
+#include "keyvalue/claim_store.h"
+#include "keyvalue/kv_client.h"
 #include "routing/endpoint_balancer.h"
 
 namespace radishstep {
--- /dev/null
+++ b/src/forward/endpoint_chooser.cpp
@@ -0,0 +1,142 @@
+#include "forward/endpoint_chooser.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace radishstep::forward {
+
+namespace {
+
+/// Engines give out memory in blocks of this many tokens.
+constexpr std::int64_t block_tokens = 16;
+
+/// Weight of a call that leaves the zone, against one more call at a nearer endpoint: distance only
+/// breaks near ties.
+constexpr double other_zone_weight = 0.15;
+
+/// Random part of a score, so that hosts that see the same loads do not all choose the same endpoint.
+constexpr double jitter_weight = 0.3;
+
+/// What an endpoint that is avoided costs in the score: it is used when all others are out.
+constexpr double avoided_weight = 1'000;
+
+std::int64_t in_blocks(std::int64_t tokens)
+{
+    return (tokens + block_tokens - 1) / block_tokens * block_tokens;
+}
+
+/// Returns a value in [0, 1) that differs between endpoints and draws.
+double mixed(double draw, std::size_t index)
+{
+    constexpr double golden_ratio = 0.618033988749895;
+    const double value = draw + golden_ratio * static_cast<double>(index + 1);
+    return value - static_cast<double>(static_cast<std::int64_t>(value));
+}
+
+} // namespace
+
+std::int64_t model_demand::memory() const
+{
+    return in_blocks(this->prompt_tokens + this->output_tokens);
+}
+
+endpoint_chooser::endpoint_chooser(const endpoint_directory& directory, const fleet_load& load,
+                                   const endpoint_health& health, std::string zone)
+    : directory(directory), load(load), health(health), zone(std::move(zone))
+{
+}
+
+std::optional<endpoint> endpoint_chooser::choose_plain(const std::string& service, const avoided_endpoints& avoided,
+                                                       double draw, time_point now) const
+{
+    const endpoint* best = nullptr;
+    double best_score = std::numeric_limits<double>::max();
+    std::size_t index = 0;
+    for (const endpoint* candidate : this->candidates(service, endpoint_phase::whole, avoided, now)) {
+        const std::string incarnation = candidate->incarnation();
+        const endpoint_load there = this->load.at(incarnation, now);
+        double score = (there.calls + 1.0) * this->health.pace(incarnation, now);
+        score += candidate->zone == this->zone ? 0 : other_zone_weight;
+        score += jitter_weight * mixed(draw, index++);
+        score += this->health.is_avoided(incarnation, now) ? avoided_weight : 0;
+        if (score < best_score) {
+            best_score = score;
+            best = candidate;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional<endpoint>{*best};
+}
+
+tl::expected<model_places, no_place> endpoint_chooser::choose_model(const model_demand& demand,
+                                                                    const avoided_endpoints& avoided, double draw,
+                                                                    time_point now) const
+{
+    constexpr double far_transfer_ms = 40;
+    constexpr double jitter_ms = 25;
+    constexpr double avoided_ms = 1e6;
+    const auto decoders = this->candidates(demand.service, endpoint_phase::decode, avoided, now);
+    const auto readers = this->candidates(demand.service, endpoint_phase::prefill, avoided, now);
+    if (decoders.empty())
+        return tl::unexpected{no_place::no_endpoint};
+    std::optional<model_places> best;
+    double best_ms = std::numeric_limits<double>::max();
+    std::size_t index = 0;
+    const auto weigh = [&](const endpoint* reader, const endpoint& decoder, double ms) {
+        ms += jitter_ms * mixed(draw, index++);
+        if (ms >= best_ms)
+            return;
+        best_ms = ms;
+        best = model_places{reader == nullptr ? std::nullopt : std::optional<endpoint>{*reader}, decoder};
+    };
+    for (const endpoint* decoder : decoders) {
+        if (!this->has_room(*decoder, demand, now))
+            continue;
+        const std::string incarnation = decoder->incarnation();
+        const endpoint_load there = this->load.at(incarnation, now);
+        double decode_ms = 10.0 * there.calls * this->health.pace(incarnation, now);
+        decode_ms += this->health.is_avoided(incarnation, now) ? avoided_ms : 0;
+        const double own_reading =
+            static_cast<double>(there.unread + demand.prompt_tokens) / reading_speed * own_reading_factor;
+        weigh(nullptr, *decoder, decode_ms + own_reading + to_ms(own_reading_penalty));
+        for (const endpoint* reader : readers) {
+            double ms = decode_ms + to_ms(this->reading_time(*reader, demand.prompt_tokens, now));
+            ms += reader->zone == decoder->zone ? 0 : far_transfer_ms;
+            ms += this->health.is_avoided(reader->incarnation(), now) ? avoided_ms : 0;
+            weigh(reader, *decoder, ms);
+        }
+    }
+    if (!best)
+        return tl::unexpected{no_place::full};
+    return *best;
+}
+
+milliseconds endpoint_chooser::reading_time(const endpoint& at, std::int64_t prompt_tokens, time_point now) const
+{
+    const std::string incarnation = at.incarnation();
+    const auto unread = static_cast<double>(this->load.at(incarnation, now).unread + prompt_tokens);
+    return milliseconds{static_cast<std::int64_t>(unread / reading_speed * this->health.pace(incarnation, now))};
+}
+
+std::vector<const endpoint*> endpoint_chooser::candidates(const std::string& service, endpoint_phase phase,
+                                                          const avoided_endpoints& avoided, time_point) const
+{
+    std::vector<const endpoint*> found = this->directory.usable(service);
+    std::erase_if(found, [&](const endpoint* candidate) {
+        return candidate->phase != phase || avoided.contains(candidate->incarnation());
+    });
+    return found;
+}
+
+bool endpoint_chooser::has_room(const endpoint& at, const model_demand& demand, time_point now) const
+{
+    const endpoint_load there = this->load.at(at.incarnation(), now);
+    if (there.calls >= at.slots)
+        return false;
+    if (there.calls == 0)
+        return true;
+    const auto room = static_cast<std::int64_t>(static_cast<double>(demand.memory_tokens) * memory_part);
+    return there.tokens + demand.memory() <= room;
+}
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/endpoint_chooser.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "base/runtime_clock.h"
+#include "forward/endpoint.h"
+#include "forward/endpoint_directory.h"
+#include "forward/endpoint_health.h"
+#include "forward/fleet_load.h"
+
+namespace radishstep::forward {
+
+/// Endpoint incarnations that a request does not want again.
+using avoided_endpoints = std::set<std::string>;
+
+/// The two endpoints of a model request.
+struct model_places
+{
+    /// Nothing when the decode engine is to read the prompt itself.
+    std::optional<endpoint> prefill;
+    endpoint decode;
+
+    bool operator==(const model_places&) const = default;
+};
+
+/// What a model request needs of its engines.
+struct model_demand
+{
+    std::string service;
+    std::int64_t prompt_tokens = 0;
+    /// Likely length of the answer.
+    std::int64_t output_tokens = 0;
+    /// Tokens that fit into an engine's memory.
+    std::int64_t memory_tokens = 0;
+
+    bool operator==(const model_demand&) const = default;
+
+    /// Returns what the request takes of an engine's memory, which is given out in blocks.
+    std::int64_t memory() const;
+};
+
+/// Why no place was found.
+enum class no_place { no_endpoint, full };
+
+/// Chooses endpoints by load, observed health and zone. Holds no state of its own.
+class endpoint_chooser
+{
+public:
+    /// Prompt tokens that a prefill engine reads in a millisecond when nothing was observed yet; model
+    /// engines of the present kind read 33.
+    static constexpr double reading_speed = 30;
+    /// A decode engine reads prompts at half the speed, between the tokens of other requests.
+    static constexpr double own_reading_factor = 2.0;
+    /// Extra time that reading at the decode engine has to save before it is preferred: it slows the
+    /// streams that run there.
+    static constexpr milliseconds own_reading_penalty{250};
+    /// Part of an engine's memory that is given out; the rest covers answers longer than expected.
+    static constexpr double memory_part = 0.92;
+
+    endpoint_chooser(const endpoint_directory& directory, const fleet_load& load, const endpoint_health& health,
+                     std::string zone);
+
+    /// Returns the endpoint for a plain call, or nothing when the service has none.
+    std::optional<endpoint> choose_plain(const std::string& service, const avoided_endpoints& avoided, double draw,
+                                         time_point now) const;
+
+    /// Returns the engines for a model request, or why there are none.
+    tl::expected<model_places, no_place> choose_model(const model_demand& demand, const avoided_endpoints& avoided,
+                                                      double draw, time_point now) const;
+
+    /// Returns how long the prompt would wait and be read at a prefill engine.
+    milliseconds reading_time(const endpoint& at, std::int64_t prompt_tokens, time_point now) const;
+
+private:
+    std::vector<const endpoint*> candidates(const std::string& service, endpoint_phase phase,
+                                            const avoided_endpoints& avoided, time_point now) const;
+    bool has_room(const endpoint& at, const model_demand& demand, time_point now) const;
+
+    const endpoint_directory& directory;
+    const fleet_load& load;
+    const endpoint_health& health;
+    std::string zone;
+};
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/endpoint_health.cpp
@@ -0,0 +1,82 @@
+#include "forward/endpoint_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace radishstep::forward {
+
+namespace {
+
+/// Time in which an observed pace falls back to a third: slow moments of engines are short.
+constexpr milliseconds pace_memory{800};
+constexpr std::chrono::seconds record_memory{60};
+
+double faded(double value, runtime_clock::duration age, milliseconds memory)
+{
+    return value * std::exp(-to_ms(age) / static_cast<double>(memory.count()));
+}
+
+} // namespace
+
+void endpoint_health::record(const std::string& incarnation, call_outcome outcome, time_point now)
+{
+    const double before = this->failure_share(incarnation, now);
+    record_of& known = this->records[incarnation];
+    known.last = now;
+    if (outcome == call_outcome::rejected) {
+        known.avoided_until = std::max(known.avoided_until, now + full_avoidance);
+        return;
+    }
+    const double newest = outcome == call_outcome::answered ? 0 : 1;
+    known.failures = before * (1 - newest_weight) + newest * newest_weight;
+    known.failures_at = now;
+    if (outcome == call_outcome::answered) {
+        known.next_avoidance = first_avoidance;
+        return;
+    }
+    if (outcome == call_outcome::unreachable || outcome == call_outcome::lost) {
+        known.avoided_until = now + known.next_avoidance;
+        known.next_avoidance = std::min(known.next_avoidance * 2, longest_avoidance);
+    }
+}
+
+void endpoint_health::record_pace(const std::string& incarnation, double ratio, time_point now)
+{
+    constexpr double newest_pace_weight = 0.5;
+    const double before = this->pace(incarnation, now);
+    record_of& known = this->records[incarnation];
+    known.last = now;
+    known.slowness = std::max(1.0, before * (1 - newest_pace_weight) + ratio * newest_pace_weight);
+    known.slowness_at = now;
+}
+
+bool endpoint_health::is_avoided(const std::string& incarnation, time_point now) const
+{
+    const auto found = this->records.find(incarnation);
+    if (found == this->records.end())
+        return false;
+    return now < found->second.avoided_until || this->failure_share(incarnation, now) >= bad_share;
+}
+
+double endpoint_health::failure_share(const std::string& incarnation, time_point now) const
+{
+    const auto found = this->records.find(incarnation);
+    if (found == this->records.end())
+        return 0;
+    return faded(found->second.failures, now - found->second.failures_at, forget_time);
+}
+
+double endpoint_health::pace(const std::string& incarnation, time_point now) const
+{
+    const auto found = this->records.find(incarnation);
+    if (found == this->records.end())
+        return 1;
+    return 1 + faded(found->second.slowness - 1, now - found->second.slowness_at, pace_memory);
+}
+
+void endpoint_health::forget_old(time_point now)
+{
+    std::erase_if(this->records, [now](const auto& entry) { return entry.second.last + record_memory < now; });
+}
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/endpoint_health.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "base/runtime_clock.h"
+
+namespace radishstep::forward {
+
+/// How a call to an endpoint ended, as far as it tells of the endpoint.
+enum class call_outcome { answered, failed, rejected, lost, unreachable };
+
+/// What this host has seen of each endpoint. Observed outcomes decide, not what endpoints say of themselves.
+class endpoint_health
+{
+public:
+    /// How long an endpoint is avoided after it could not be reached; doubles up to the longest.
+    static constexpr milliseconds first_avoidance{400};
+    static constexpr milliseconds longest_avoidance{3'000};
+    /// How long an endpoint that was full is avoided: about the time of one call.
+    static constexpr milliseconds full_avoidance{60};
+    /// Weight of the newest outcome in the failure share.
+    static constexpr double newest_weight = 0.2;
+    /// Failure share from which an endpoint is avoided while others do better.
+    static constexpr double bad_share = 0.3;
+    /// Time in which an old failure share falls to a third, so that endpoints get another chance.
+    static constexpr milliseconds forget_time{4'000};
+
+    /// Counts an outcome.
+    void record(const std::string& incarnation, call_outcome outcome, time_point now);
+
+    /// Counts how long a call took against what was expected (1: as expected).
+    void record_pace(const std::string& incarnation, double ratio, time_point now);
+
+    /// Returns true while the endpoint should get work only when no other can.
+    bool is_avoided(const std::string& incarnation, time_point now) const;
+
+    /// Returns the share of calls that failed lately, from 0 to 1.
+    double failure_share(const std::string& incarnation, time_point now) const;
+
+    /// Returns how many times longer than expected calls take lately, at least 1.
+    double pace(const std::string& incarnation, time_point now) const;
+
+    /// Forgets endpoints that were not used for a while.
+    void forget_old(time_point now);
+
+private:
+    struct record_of
+    {
+        time_point avoided_until;
+        milliseconds next_avoidance = first_avoidance;
+        double failures = 0;
+        time_point failures_at;
+        double slowness = 1;
+        time_point slowness_at;
+        time_point last;
+    };
+
+    std::map<std::string, record_of> records;
+};
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/fleet_load.cpp
@@ -0,0 +1,56 @@
+#include "forward/fleet_load.h"
+
+#include <utility>
+
+namespace radishstep::forward {
+
+endpoint_load& endpoint_load::operator+=(const endpoint_load& other)
+{
+    this->calls += other.calls;
+    this->tokens += other.tokens;
+    this->unread += other.unread;
+    return *this;
+}
+
+endpoint_load& endpoint_load::operator-=(const endpoint_load& other)
+{
+    this->calls -= other.calls;
+    this->tokens -= other.tokens;
+    this->unread -= other.unread;
+    return *this;
+}
+
+void fleet_load::begin(const std::string& incarnation, endpoint_load work)
+{
+    this->own_loads[incarnation] += work;
+}
+
+void fleet_load::end(const std::string& incarnation, endpoint_load work)
+{
+    endpoint_load& left = this->own_loads[incarnation];
+    left -= work;
+    if (left == endpoint_load{})
+        this->own_loads.erase(incarnation);
+}
+
+void fleet_load::take_peer(const std::string& host, load_table loads, time_point now)
+{
+    this->peers.insert_or_assign(host, peer_word{std::move(loads), now});
+}
+
+endpoint_load fleet_load::at(const std::string& incarnation, time_point now) const
+{
+    endpoint_load sum;
+    const auto add_from = [&sum, &incarnation](const load_table& loads) {
+        if (const auto found = loads.find(incarnation); found != loads.end())
+            sum += found->second;
+    };
+    add_from(this->own_loads);
+    for (const auto& [host, word] : this->peers) {
+        if (word.heard + peer_memory > now)
+            add_from(word.loads);
+    }
+    return sum;
+}
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/fleet_load.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "base/runtime_clock.h"
+
+namespace radishstep::forward {
+
+/// What runs at one endpoint.
+struct endpoint_load
+{
+    int calls = 0;
+    /// Tokens of engine memory that the calls take or will take.
+    std::int64_t tokens = 0;
+    /// Prompt tokens that wait to be read or are being read.
+    std::int64_t unread = 0;
+
+    bool operator==(const endpoint_load&) const = default;
+
+    endpoint_load& operator+=(const endpoint_load& other);
+    endpoint_load& operator-=(const endpoint_load& other);
+};
+
+/// What runs at each endpoint, by endpoint incarnation.
+using load_table = std::map<std::string, endpoint_load>;
+
+/// The work of all hosts at the endpoints: this host's exactly, the others' as they last told.
+class fleet_load
+{
+public:
+    /// How long another host's word counts when no newer one comes.
+    static constexpr milliseconds peer_memory{1'500};
+
+    /// Counts work that begins at an endpoint.
+    void begin(const std::string& incarnation, endpoint_load work);
+
+    /// Counts work that ends at an endpoint; `work` is what begin() was told.
+    void end(const std::string& incarnation, endpoint_load work);
+
+    /// Takes another host's table; older ones of the same host are replaced.
+    void take_peer(const std::string& host, load_table loads, time_point now);
+
+    /// Returns the work of all hosts at an endpoint.
+    endpoint_load at(const std::string& incarnation, time_point now) const;
+
+    /// Returns this host's own work.
+    const load_table& own() const { return this->own_loads; }
+
+private:
+    struct peer_word
+    {
+        load_table loads;
+        time_point heard;
+    };
+
+    load_table own_loads;
+    std::map<std::string, peer_word> peers;
+};
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/forward_context.cpp
@@ -0,0 +1,41 @@
+#include "forward/forward_context.h"
+
+#include <utility>
+
+namespace radishstep::forward {
+
+forward_context::forward_context(const boost::asio::any_io_executor& executor, const forward_dialect& dialect,
+                                 std::string zone)
+    : executor(executor), dialect(dialect), calls(executor),
+      chooser(this->directory, this->load, this->health, std::move(zone)), random(std::random_device{}())
+{
+}
+
+double forward_context::draw()
+{
+    return std::uniform_real_distribution<double>{0, 1}(this->random);
+}
+
+load_guard::load_guard(forward_context& context, std::string incarnation, endpoint_load work)
+    : context(context), incarnation(std::move(incarnation)), work(work)
+{
+    this->context.load.begin(this->incarnation, this->work);
+    if (this->context.on_load_change)
+        this->context.on_load_change();
+}
+
+load_guard::~load_guard()
+{
+    this->end();
+}
+
+void load_guard::end()
+{
+    if (std::exchange(this->ended, true))
+        return;
+    this->context.load.end(this->incarnation, this->work);
+    if (this->context.on_load_change)
+        this->context.on_load_change();
+}
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/forward_context.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <random>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include "forward/endpoint_chooser.h"
+#include "forward/endpoint_directory.h"
+#include "forward/endpoint_health.h"
+#include "forward/fleet_load.h"
+#include "forward/forward_config.h"
+#include "forward/forward_dialect.h"
+#include "forward/retry_budget.h"
+#include "forward/waiting_line.h"
+#include "http/client.h"
+
+namespace radishstep::forward {
+
+/// What all requests of a process share. Lives on one thread.
+struct forward_context
+{
+    forward_context(const boost::asio::any_io_executor& executor, const forward_dialect& dialect, std::string zone);
+
+    boost::asio::any_io_executor executor;
+    const forward_dialect& dialect;
+    http::client calls;
+    endpoint_directory directory;
+    fleet_load load;
+    endpoint_health health;
+    endpoint_chooser chooser;
+    retry_budget budget;
+    /// Requests that wait for a place, by service.
+    std::map<std::string, waiting_line> lines;
+    config_ptr config;
+    /// Runs when work began or ended at an endpoint.
+    std::function<void()> on_load_change;
+    std::mt19937_64 random;
+
+    /// Returns a uniform draw from [0, 1).
+    double draw();
+};
+
+/// Counts work at an endpoint for as long as it lives.
+class load_guard
+{
+public:
+    load_guard(forward_context& context, std::string incarnation, endpoint_load work);
+    ~load_guard();
+    load_guard(const load_guard&) = delete;
+    load_guard& operator=(const load_guard&) = delete;
+
+    /// Ends the work before the guard's own end; a second end does nothing.
+    void end();
+
+private:
+    forward_context& context;
+    std::string incarnation;
+    endpoint_load work;
+    bool ended = false;
+};
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/gateway.cpp
@@ -0,0 +1,324 @@
+#include "forward/gateway.h"
+
+#include <csignal>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/pause.h"
+
+namespace radishstep::forward {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Under which hosts register themselves.
+constexpr const char* hosts_prefix = "radishstep/hosts/";
+
+/// How long a host counts after its last word to the key-value service.
+constexpr milliseconds registration_time{9'000};
+constexpr milliseconds renewal_time{3'000};
+constexpr milliseconds registration_pause{500};
+
+/// How often endpoints that vanished during an outage are looked through, and old records dropped.
+constexpr milliseconds house_time{200};
+
+/// How often the settings file is looked at; it may change without a signal.
+constexpr milliseconds settings_time{1'000};
+
+/// From the request to stop until new connections are refused: two missed readiness questions, which
+/// come once a second, and a second for connections that are on their way.
+constexpr milliseconds readiness_time{3'000};
+
+/// Part of the grace time that is left for the process to end by itself.
+constexpr milliseconds stop_margin{250};
+
+constexpr milliseconds stop_poll{20};
+
+/// Hosts assumed to share the retry budget until the key-value service has told: more than are likely.
+constexpr std::size_t unknown_hosts = 12;
+
+void spawn(asio::io_context& io, asio::awaitable<void> work)
+{
+    asio::co_spawn(io, std::move(work), [](const std::exception_ptr& failure) {
+        if (failure)
+            std::rethrow_exception(failure);
+    });
+}
+
+} // namespace
+
+gateway::gateway(asio::io_context& io, gateway_settings settings, const forward_dialect& dialect,
+                 key_value_source& store, site_documents documents)
+    : io(io), settings(std::move(settings)), store(store), documents(std::move(documents)),
+      context(io.get_executor(), dialect, this->settings.zone),
+      peers(io.get_executor(), this->settings.host, this->context.load), signals(io, SIGTERM, SIGINT, SIGHUP)
+{
+    this->context.budget.configure(this->settings.retries, unknown_hosts);
+    this->context.on_load_change = [this] { this->peers.note_change(); };
+}
+
+gateway::~gateway() = default;
+
+result<void> gateway::start()
+{
+    auto callers_listener = http::listen(this->io.get_executor(), this->settings.callers_address);
+    if (!callers_listener)
+        return tl::unexpected{callers_listener.error()};
+    auto ready_listener = http::listen(this->io.get_executor(), this->settings.ready_address);
+    if (!ready_listener)
+        return tl::unexpected{ready_listener.error()};
+    auto metrics_listener = http::listen(this->io.get_executor(), this->settings.metrics_address());
+    if (!metrics_listener)
+        return tl::unexpected{metrics_listener.error()};
+    if (const auto opened = this->peers.open(this->settings.peer_address()); !opened)
+        return opened;
+    const auto refuse = [this](const error& reason) {
+        return this->context.dialect.refusal("", reason, std::nullopt);
+    };
+    this->callers = std::make_unique<forward_server>(this->context, std::move(*callers_listener));
+    this->readiness = std::make_unique<http::server>(
+        std::move(*ready_listener), http::server_limits{},
+        [this](const http::request&, http::reply& reply) -> asio::awaitable<void> {
+            constexpr unsigned ready_status = 200;
+            constexpr unsigned not_ready_status = 503;
+            http::response answer = this->is_ready() ? http::text_response(ready_status, "ready\n")
+                                                     : http::text_response(not_ready_status, "not ready\n");
+            co_await reply.send(std::move(answer));
+        },
+        refuse);
+    this->metrics = std::make_unique<http::server>(
+        std::move(*metrics_listener), http::server_limits{},
+        [](const http::request&, http::reply& reply) -> asio::awaitable<void> {
+            constexpr unsigned ok = 200;
+            http::response answer = http::text_response(ok, metrics_text());
+            co_await reply.send(std::move(answer));
+        },
+        refuse);
+    this->callers->start();
+    this->readiness->start();
+    this->metrics->start();
+    this->watch_store();
+    spawn(this->io, this->peers.send_reports());
+    spawn(this->io, this->peers.receive_reports());
+    spawn(this->io, this->stay_registered());
+    spawn(this->io, this->keep_house());
+    spawn(this->io, this->follow_settings());
+    spawn(this->io, this->wait_for_signals());
+    log_state("started", {{"host", this->settings.host},
+                          {"callers", this->settings.callers_address},
+                          {"store", this->settings.store_address}});
+    return {};
+}
+
+bool gateway::is_ready() const
+{
+    return this->context.config && this->has_endpoints && !this->is_stopping;
+}
+
+void gateway::watch_store()
+{
+    const auto nothing = [] {};
+    prefix_hooks config;
+    config.on_all = [this](const std::vector<stored_change>& items) {
+        for (const stored_change& item : items)
+            this->take_config(item);
+    };
+    config.on_change = [this](const stored_change& change) { this->take_config(change); };
+    config.on_lost = nothing;
+    config.on_regained = nothing;
+    prefix_hooks endpoints;
+    endpoints.on_all = [this](const std::vector<stored_change>& items) { this->take_all_endpoints(items); };
+    endpoints.on_change = [this](const stored_change& change) { this->take_endpoint(change); };
+    endpoints.on_lost = [this] { this->context.directory.source_lost(); };
+    endpoints.on_regained = [this] { this->context.directory.source_regained(runtime_clock::now()); };
+    prefix_hooks peers;
+    peers.on_all = [this](const std::vector<stored_change>& items) {
+        this->hosts.clear();
+        for (const stored_change& item : items)
+            this->take_host(item);
+    };
+    peers.on_change = [this](const stored_change& change) { this->take_host(change); };
+    peers.on_lost = nothing;
+    peers.on_regained = nothing;
+    this->watches.push_back(std::make_unique<watched_prefix>(this->store, this->documents.config_key, config));
+    this->watches.push_back(std::make_unique<watched_prefix>(this->store, this->documents.endpoints_prefix, endpoints));
+    this->watches.push_back(std::make_unique<watched_prefix>(this->store, hosts_prefix, peers));
+    for (const auto& watch : this->watches)
+        spawn(this->io, watch->run());
+}
+
+void gateway::take_config(const stored_change& change)
+{
+    if (change.key != this->documents.config_key || !change.value)
+        return;
+    auto decoded = this->documents.decode_config(*change.value);
+    if (!decoded) {
+        log_problem("config_unusable", {{"cause", describe(decoded.error())}});
+        return;
+    }
+    const std::int64_t current = this->context.config ? this->context.config->version : 0;
+    if (this->context.config && decoded->version <= current) {
+        log_state("config_kept", {{"version", std::to_string(current)}, {"offered", std::to_string(decoded->version)}});
+        return;
+    }
+    log_state("config_applied", {{"version", std::to_string(decoded->version)},
+                                 {"before", std::to_string(current)},
+                                 {"routes", std::to_string(decoded->routes.size())}});
+    this->callers->apply_limits(decoded->limits);
+    this->context.config = std::make_shared<const forward_config>(std::move(*decoded));
+}
+
+void gateway::take_endpoint(const stored_change& change)
+{
+    const time_point now = runtime_clock::now();
+    if (!change.value) {
+        log_state("endpoint_removed", {{"key", change.key}, {"revision", std::to_string(change.revision)}});
+        this->context.directory.remove(change.key, now);
+        return;
+    }
+    auto decoded = this->documents.decode_endpoint(change.key, *change.value);
+    if (!decoded) {
+        log_problem("endpoint_unusable", {{"key", change.key}, {"cause", describe(decoded.error())}});
+        this->context.directory.remove(change.key, now);
+        return;
+    }
+    log_state("endpoint_seen", {{"endpoint", decoded->id},
+                                {"started_ms", std::to_string(decoded->started_ms)},
+                                {"address", decoded->address},
+                                {"draining", decoded->is_draining ? "yes" : "no"},
+                                {"phase", std::to_string(static_cast<int>(decoded->phase))},
+                                {"revision", std::to_string(change.revision)}});
+    this->context.directory.put(change.key, std::move(*decoded));
+}
+
+void gateway::take_all_endpoints(const std::vector<stored_change>& items)
+{
+    std::map<std::string, endpoint> entries;
+    for (const stored_change& item : items) {
+        auto decoded = this->documents.decode_endpoint(item.key, item.value.value_or(""));
+        if (!decoded) {
+            log_problem("endpoint_unusable", {{"key", item.key}, {"cause", describe(decoded.error())}});
+            continue;
+        }
+        entries.emplace(item.key, std::move(*decoded));
+    }
+    log_state("endpoints_read", {{"usable", std::to_string(entries.size())}, {"all", std::to_string(items.size())}});
+    this->context.directory.replace_all(std::move(entries), runtime_clock::now());
+    this->has_endpoints = true;
+}
+
+void gateway::take_host(const stored_change& change)
+{
+    const std::string host = change.key.substr(std::string_view{hosts_prefix}.size());
+    if (change.value)
+        this->hosts.insert_or_assign(host, *change.value);
+    else
+        this->hosts.erase(host);
+    if (!change.value && host == this->settings.host && !this->is_stopping)
+        this->must_register = true;
+    this->peers.set_peers(this->hosts);
+    this->context.budget.configure(this->settings.retries, this->hosts.size());
+}
+
+asio::awaitable<void> gateway::stay_registered()
+{
+    std::int64_t lease = 0;
+    while (!this->is_stopping) {
+        if (lease == 0 || this->must_register) {
+            this->must_register = false;
+            const auto taken = co_await this->store.take_lease(std::max(registration_time, this->settings.shortest_lease));
+            if (taken) {
+                const std::string own_address = this->settings.peer_address();
+                const auto written = co_await this->store.put(hosts_prefix + this->settings.host, own_address, *taken);
+                lease = written && *written ? *taken : 0;
+            }
+            if (lease == 0) {
+                co_await pause_for(registration_pause);
+                continue;
+            }
+            log_state("registered", {{"host", this->settings.host}, {"lease", std::to_string(lease)}});
+        }
+        co_await pause_for(renewal_time);
+        const auto renewed = co_await this->store.renew_lease(lease);
+        if (renewed && !*renewed) {
+            log_problem("registration_ended", {{"lease", std::to_string(lease)}});
+            lease = 0;
+        }
+    }
+}
+
+asio::awaitable<void> gateway::keep_house()
+{
+    while (true) {
+        co_await pause_for(house_time);
+        const time_point now = runtime_clock::now();
+        for (const endpoint& dropped : this->context.directory.settle(now))
+            log_state("endpoint_gone", {{"endpoint", dropped.id}, {"cause", "did not come back after the outage"}});
+        this->context.health.forget_old(now);
+    }
+}
+
+void gateway::apply_settings(const gateway_settings& next)
+{
+    log_state("settings_applied", {{"host", next.host}, {"zone", next.zone}});
+    this->settings.retries = next.retries;
+    this->settings.grace = next.grace;
+    this->context.budget.configure(next.retries, this->hosts.empty() ? unknown_hosts : this->hosts.size());
+}
+
+asio::awaitable<void> gateway::follow_settings()
+{
+    gateway_settings last = this->settings;
+    while (true) {
+        co_await pause_for(settings_time);
+        const auto read = this->documents.read_settings();
+        if (!read) {
+            log_problem("settings_unusable", {{"cause", describe(read.error())}});
+            continue;
+        }
+        if (*read == last)
+            continue;
+        last = *read;
+        this->apply_settings(*read);
+    }
+}
+
+asio::awaitable<void> gateway::wait_for_signals()
+{
+    while (true) {
+        boost::system::error_code failure;
+        const int signal = co_await this->signals.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            co_return;
+        log_state("signal", {{"number", std::to_string(signal)},
+                             {"in_progress", std::to_string(this->callers->requests_in_progress())}});
+        if (signal == SIGHUP) {
+            if (const auto read = this->documents.read_settings())
+                this->apply_settings(*read);
+            continue;
+        }
+        if (!std::exchange(this->is_stopping, true))
+            spawn(this->io, this->stop_gracefully());
+    }
+}
+
+asio::awaitable<void> gateway::stop_gracefully()
+{
+    const time_point until = runtime_clock::now() + this->settings.grace - stop_margin;
+    this->callers->send_callers_away();
+    co_await pause_for(std::min(readiness_time, this->settings.grace / 2));
+    this->callers->stop_accepting();
+    while (this->callers->requests_in_progress() > 0 && runtime_clock::now() < until)
+        co_await pause_for(stop_poll);
+    log_state("stopped", {{"unfinished", std::to_string(this->callers->requests_in_progress())}});
+    this->io.stop();
+}
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/gateway.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "forward/forward_context.h"
+#include "forward/forward_server.h"
+#include "forward/gateway_settings.h"
+#include "forward/peer_exchange.h"
+#include "keyvalue/key_value_source.h"
+#include "keyvalue/watched_prefix.h"
+
+namespace radishstep::forward {
+
+/// How a site writes down what the gateway reads from the key-value service.
+struct site_documents
+{
+    std::string config_key;
+    std::string endpoints_prefix;
+    std::function<result<forward_config>(const std::string& document)> decode_config;
+    std::function<result<endpoint>(const std::string& key, const std::string& document)> decode_endpoint;
+    /// Reads the settings again.
+    std::function<result<gateway_settings>()> read_settings;
+};
+
+/// The process between callers and discovered endpoints: keeps configuration, endpoints and hosts up to
+/// date, serves callers, says whether it is ready, and stops without cutting anything.
+class gateway
+{
+public:
+    gateway(boost::asio::io_context& io, gateway_settings settings, const forward_dialect& dialect,
+            key_value_source& store, site_documents documents);
+    ~gateway();
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
+
+    /// Opens the addresses and starts all work, or returns what is wrong with the settings.
+    result<void> start();
+
+private:
+    bool is_ready() const;
+    void watch_store();
+    void take_config(const stored_change& change);
+    void take_endpoint(const stored_change& change);
+    void take_all_endpoints(const std::vector<stored_change>& items);
+    void take_host(const stored_change& change);
+    void apply_settings(const gateway_settings& next);
+    boost::asio::awaitable<void> stay_registered();
+    boost::asio::awaitable<void> keep_house();
+    boost::asio::awaitable<void> follow_settings();
+    boost::asio::awaitable<void> wait_for_signals();
+    boost::asio::awaitable<void> stop_gracefully();
+
+    boost::asio::io_context& io;
+    gateway_settings settings;
+    key_value_source& store;
+    site_documents documents;
+    forward_context context;
+    peer_exchange peers;
+    std::unique_ptr<forward_server> callers;
+    std::unique_ptr<http::server> readiness;
+    std::unique_ptr<http::server> metrics;
+    std::vector<std::unique_ptr<watched_prefix>> watches;
+    std::map<std::string, std::string> hosts;
+    boost::asio::signal_set signals;
+    bool has_endpoints = false;
+    bool is_stopping = false;
+    bool must_register = false;
+};
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/model_forward.cpp
@@ -0,0 +1,361 @@
+#include "forward/model_forward.h"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "forward/request_rules.h"
+
+namespace radishstep::forward {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How often a request that waits for a place looks again: a fraction of the time that a stream takes.
+constexpr milliseconds look_again_time{10};
+
+/// A prefill engine that takes this much longer than expected counts as stuck.
+constexpr milliseconds prefill_margin{250};
+constexpr double prefill_factor = 2.5;
+
+/// How long a stream that may go on elsewhere can stay silent: longer pauses lose the caller.
+constexpr milliseconds silence_of_movable_stream{1'200};
+
+std::string ms_since(time_point start)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(runtime_clock::now() - start).count());
+}
+
+asio::awaitable<void> call_and_forget(http::client& calls, std::string address, http::request call)
+{
+    http::call_options options;
+    options.connect_time = connect_time;
+    options.silence_time = connect_time;
+    const auto got = co_await calls.call(std::move(address), std::move(call), std::move(options));
+    if (!got)
+        count("radishstep_forward_release_failed_total");
+}
+
+} // namespace
+
+model_forward::model_forward(forward_context& context, request_in_hand hand)
+    : context(context), hand(hand), relay(hand.asked.last_event)
+{
+}
+
+asio::awaitable<request_outcome> model_forward::run()
+{
+    std::optional<error> reason;
+    while (true) {
+        reason = this->reason_to_stop();
+        if (reason)
+            break;
+        auto reserved = co_await this->reserve();
+        if (!reserved) {
+            reason = reserved.error();
+            break;
+        }
+        const next_step next = co_await this->serve_at(*reserved);
+        if (next == next_step::done) {
+            reason = this->refused;
+            break;
+        }
+    }
+    if (reason)
+        co_await this->finish(*reason);
+    this->outcome.sends = this->prefill_sends + this->decode_sends;
+    co_return this->outcome;
+}
+
+model_demand model_forward::demand() const
+{
+    const service* known = this->context.config->find_service(this->hand.service);
+    model_demand wanted;
+    wanted.service = this->hand.service;
+    wanted.prompt_tokens = this->hand.asked.prompt_tokens;
+    wanted.output_tokens = this->hand.asked.most_output_tokens;
+    wanted.memory_tokens = known == nullptr ? 0 : known->memory_tokens;
+    return wanted;
+}
+
+model_forward::reserved_places model_forward::hold(model_places places)
+{
+    const model_demand wanted = this->demand();
+    endpoint_load decoding;
+    decoding.calls = 1;
+    decoding.tokens = wanted.memory();
+    decoding.unread = places.prefill ? 0 : wanted.prompt_tokens;
+    reserved_places held;
+    held.decoding = std::make_unique<load_guard>(this->context, places.decode.incarnation(), decoding);
+    if (places.prefill) {
+        endpoint_load reading;
+        reading.calls = 1;
+        reading.tokens = wanted.prompt_tokens;
+        reading.unread = wanted.prompt_tokens;
+        held.reading = std::make_unique<load_guard>(this->context, places.prefill->incarnation(), reading);
+    }
+    held.places = std::move(places);
+    return held;
+}
+
+asio::awaitable<tl::expected<model_forward::reserved_places, error>> model_forward::reserve()
+{
+    waiting_line& line = this->context.lines[this->hand.service];
+    const waiting_line::ticket place = line.join(this->hand.way.priority);
+    const time_point start = runtime_clock::now();
+    const time_point give_up = start + this->hand.way.objective * longest_wait_objectives;
+    tl::expected<model_places, no_place> found = tl::unexpected{no_place::full};
+    while (true) {
+        const time_point now = runtime_clock::now();
+        if (line.is_first(place))
+            found = this->context.chooser.choose_model(this->demand(), this->avoided, this->context.draw(), now);
+        if (found || found.error() == no_place::no_endpoint || now >= give_up || this->hand.watch.is_caller_gone() ||
+            this->hand.watch.left() < least_useful_time)
+            break;
+        co_await this->hand.watch.pause(look_again_time);
+    }
+    line.leave(place);
+    log_decision("place", {{"request", this->hand.asked.id},
+                           {"waited_ms", ms_since(start)},
+                           {"prefill", found && found->prefill ? found->prefill->id : "none"},
+                           {"decode", found ? found->decode.id : "none"},
+                           {"line", std::to_string(line.size())}});
+    if (this->hand.watch.is_caller_gone())
+        co_return fail(error_kind::caller_gone, "the caller has left", "");
+    if (!found && found.error() == no_place::no_endpoint)
+        co_return fail(error_kind::no_endpoint, "no engine of the service takes the request",
+                       "come back after the given time");
+    if (!found)
+        co_return fail(error_kind::overloaded, "all engines of the service are full", "come back after the given time");
+    co_return this->hold(std::move(*found));
+}
+
+asio::awaitable<model_forward::next_step> model_forward::serve_at(reserved_places& reserved)
+{
+    std::optional<prefill_result> read;
+    if (reserved.places.prefill) {
+        const endpoint reader = *reserved.places.prefill;
+        if (!this->may_send(this->prefill_sends))
+            co_return next_step::done;
+        read = co_await this->read_prompt(reader);
+        reserved.reading->end();
+        if (!read) {
+            this->avoided.insert(reader.incarnation());
+            co_return next_step::try_again;
+        }
+    }
+    if (this->hand.watch.is_caller_gone()) {
+        if (read)
+            this->release(*read);
+        co_return next_step::try_again;
+    }
+    if (!this->may_send(this->decode_sends))
+        co_return next_step::done;
+    co_return co_await this->decode_at(reserved.places.decode, std::move(read));
+}
+
+bool model_forward::may_send(int sends_before)
+{
+    if (sends_before == 0 || this->context.budget.take(this->hand.service, runtime_clock::now()))
+        return true;
+    this->refused = error{error_kind::overloaded, "the retry budget is spent", "come back after the given time"};
+    return false;
+}
+
+asio::awaitable<std::optional<prefill_result>> model_forward::read_prompt(const endpoint& at)
+{
+    const time_point sent = runtime_clock::now();
+    const auto expected = this->context.chooser.reading_time(at, 0, sent);
+    const auto limit = prefill_margin + milliseconds{static_cast<std::int64_t>(to_ms(expected) * prefill_factor)};
+    http::call_options options;
+    options.connect_time = std::min(connect_time, this->hand.watch.left());
+    options.silence_time = std::min(limit, this->hand.watch.left());
+    options.abort = this->hand.watch.next_call();
+    options.is_ours = [this](const http::response& head) {
+        return this->context.dialect.judge(this->hand.asked, head) != answer_kind::foreign;
+    };
+    ++this->prefill_sends;
+    http::request call = this->context.dialect.prefill_call(this->hand.asked, at, this->hand.watch.left());
+    auto got = co_await this->context.calls.call(at.address, std::move(call), std::move(options));
+    const time_point now = runtime_clock::now();
+    log_decision("prefill_ended", {{"request", this->hand.asked.id},
+                                   {"endpoint", at.id},
+                                   {"ms", ms_since(sent)},
+                                   {"expected_ms", std::to_string(expected.count())},
+                                   {"outcome", got ? std::to_string(got->status) : describe(got.error())}});
+    if (this->hand.watch.is_caller_gone())
+        co_return std::nullopt;
+    if (!got) {
+        const bool was_sent = got.error().kind != error_kind::not_sent;
+        this->context.health.record(at.incarnation(), was_sent ? call_outcome::lost : call_outcome::unreachable, now);
+        co_return std::nullopt;
+    }
+    auto read = this->context.dialect.read_prefill(at, *got);
+    if (!read) {
+        const bool is_full = this->context.dialect.judge(this->hand.asked, *got) == answer_kind::not_run;
+        this->context.health.record(at.incarnation(), is_full ? call_outcome::rejected : call_outcome::failed, now);
+        co_return std::nullopt;
+    }
+    this->context.health.record(at.incarnation(), call_outcome::answered, now);
+    const double usual_ms = std::max(to_ms(expected), 1.0);
+    this->context.health.record_pace(at.incarnation(), to_ms(now - sent) / usual_ms, now);
+    co_return std::move(*read);
+}
+
+asio::awaitable<model_forward::next_step> model_forward::decode_at(const endpoint& at,
+                                                                   std::optional<prefill_result> read)
+{
+    const time_point sent = runtime_clock::now();
+    http::call_options options;
+    options.connect_time = std::min(connect_time, this->hand.watch.left());
+    options.silence_time = this->hand.watch.left();
+    if (this->hand.way.is_repeatable)
+        options.silence_time = std::min(options.silence_time, silence_of_movable_stream);
+    options.fresh_connection = true;
+    options.abort = this->hand.watch.next_call();
+    ++this->decode_sends;
+    this->outcome.endpoint = at.id;
+    this->avoided.insert(at.incarnation());
+    http::request call =
+        this->context.dialect.decode_call(this->hand.asked, at, this->hand.watch.left(), read, this->relay.last_event());
+    auto stream = co_await this->context.calls.open(at.address, std::move(call), std::move(options));
+    log_decision("decode_answered", {{"request", this->hand.asked.id},
+                                     {"endpoint", at.id},
+                                     {"ms", ms_since(sent)},
+                                     {"outcome", stream ? std::to_string((*stream)->head().status)
+                                                        : describe(stream.error())}});
+    if (!stream)
+        co_return this->take_failure(at, stream.error());
+    const time_point now = runtime_clock::now();
+    switch (this->context.dialect.judge(this->hand.asked, (*stream)->head())) {
+    case answer_kind::not_run:
+        this->context.health.record(at.incarnation(), call_outcome::rejected, now);
+        co_return next_step::try_again;
+    case answer_kind::wrong_endpoint:
+        this->context.health.record(at.incarnation(), call_outcome::unreachable, now);
+        co_return next_step::try_again;
+    case answer_kind::foreign:
+    case answer_kind::broken:
+        ++this->runs;
+        this->context.health.record(at.incarnation(), call_outcome::failed, now);
+        co_return next_step::try_again;
+    case answer_kind::own:
+        break;
+    }
+    ++this->runs;
+    if ((*stream)->head().status >= first_failure_status)
+        co_return co_await this->pass_failure_on(at, **stream);
+    co_return co_await this->pass_on(at, **stream);
+}
+
+asio::awaitable<model_forward::next_step> model_forward::pass_on(const endpoint& at, http::body_stream& stream)
+{
+    if (!this->is_answer_open) {
+        this->is_answer_open = true;
+        http::response head = this->context.dialect.caller_head(stream.head());
+        this->outcome.status = head.status;
+        const bool is_begun = co_await this->hand.caller.begin(std::move(head));
+        if (!is_begun)
+            co_return next_step::try_again;
+    }
+    this->relay.start_over();
+    while (true) {
+        auto part = co_await stream.next();
+        if (!part)
+            co_return this->take_failure(at, part.error());
+        const bool is_end = part->empty();
+        std::string ready = is_end ? this->relay.take_rest() : this->relay.push(*part);
+        if (this->relay.is_broken())
+            co_return this->take_failure(at, error{error_kind::protocol, "an event is too long", ""});
+        if (!ready.empty()) {
+            const bool is_written = co_await this->hand.caller.write(std::move(ready));
+            if (!is_written)
+                co_return next_step::try_again;
+        }
+        if (is_end)
+            break;
+    }
+    this->context.health.record(at.incarnation(), call_outcome::answered, runtime_clock::now());
+    co_await this->hand.caller.finish();
+    co_return next_step::done;
+}
+
+asio::awaitable<model_forward::next_step> model_forward::pass_failure_on(const endpoint& at, http::body_stream& stream)
+{
+    this->context.health.record(at.incarnation(), call_outcome::failed, runtime_clock::now());
+    if (this->hand.way.is_repeatable && this->runs < this->hand.way.max_endpoints)
+        co_return next_step::try_again;
+    if (this->is_answer_open)
+        co_return next_step::try_again;
+    http::response answer = this->context.dialect.caller_head(stream.head());
+    while (true) {
+        auto part = co_await stream.next();
+        if (!part)
+            co_return this->take_failure(at, part.error());
+        if (part->empty())
+            break;
+        answer.body += *part;
+    }
+    this->outcome.status = answer.status;
+    co_await this->hand.caller.send(std::move(answer));
+    co_return next_step::done;
+}
+
+model_forward::next_step model_forward::take_failure(const endpoint& at, const error& reason)
+{
+    const bool was_sent = reason.kind != error_kind::not_sent;
+    if (was_sent && !this->is_answer_open)
+        ++this->runs;
+    log_decision("stream_broken", {{"request", this->hand.asked.id},
+                                   {"endpoint", at.id},
+                                   {"events", std::to_string(this->relay.events())},
+                                   {"cause", describe(reason)}});
+    if (!this->hand.watch.is_caller_gone())
+        this->context.health.record(at.incarnation(), was_sent ? call_outcome::lost : call_outcome::unreachable,
+                                    runtime_clock::now());
+    return next_step::try_again;
+}
+
+void model_forward::release(const prefill_result& read)
+{
+    asio::co_spawn(this->context.executor,
+                   call_and_forget(this->context.calls, read.address, this->context.dialect.release_call(read)),
+                   asio::detached);
+}
+
+std::optional<error> model_forward::reason_to_stop() const
+{
+    if (this->hand.watch.is_caller_gone())
+        return error{error_kind::caller_gone, "the caller has left", ""};
+    if (this->runs > 0 && !this->hand.way.is_repeatable)
+        return error{error_kind::outcome_unknown, "the engine's stream broke and may not be repeated", ""};
+    if (this->runs >= this->hand.way.max_endpoints)
+        return error{error_kind::endpoint_failed, "no engine gave a whole stream", ""};
+    if (this->hand.watch.left() < least_useful_time)
+        return error{this->runs > 0 ? error_kind::deadline_exceeded : error_kind::overloaded,
+                     "the time for the request is over", "allow more time"};
+    if (this->decode_sends + this->prefill_sends >= 2 * most_sends)
+        return error{this->runs > 0 ? error_kind::endpoint_failed : error_kind::overloaded,
+                     "several engines could not take the request", "come back after the given time"};
+    return std::nullopt;
+}
+
+asio::awaitable<void> model_forward::finish(const error& reason)
+{
+    this->outcome.cause = reason.message;
+    // A stream that was begun can only be broken off; its missing end tells the caller.
+    if (this->hand.watch.is_caller_gone() || this->is_answer_open)
+        co_return;
+    const bool may_have_run = this->runs > 0;
+    const error told = truthful_reason(reason, may_have_run);
+    http::response refusal = this->context.dialect.refusal(this->hand.asked.id, told,
+                                                           come_back_after(may_have_run, this->hand.watch.left()));
+    this->outcome.status = refusal.status;
+    co_await this->hand.caller.send(std::move(refusal));
+}
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/model_forward.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <tl/expected.hpp>
+
+#include "forward/event_relay.h"
+#include "forward/plain_forward.h"
+
+namespace radishstep::forward {
+
+/// Serves a streamed model request: a prefill engine reads the prompt, a decode engine fetches the
+/// result and streams the answer. The decode engine's place is reserved before the prompt is read.
+class model_forward
+{
+public:
+    /// How long a request waits for a place, in parts of its objective: beyond it the caller is better
+    /// served by coming back.
+    static constexpr int longest_wait_objectives = 2;
+
+    model_forward(forward_context& context, request_in_hand hand);
+
+    /// Returns once the caller has its whole stream, a refusal, or is gone.
+    boost::asio::awaitable<request_outcome> run();
+
+private:
+    enum class next_step { done, try_again };
+
+    struct reserved_places
+    {
+        model_places places;
+        std::unique_ptr<load_guard> reading;
+        std::unique_ptr<load_guard> decoding;
+    };
+
+    boost::asio::awaitable<tl::expected<reserved_places, error>> reserve();
+    reserved_places hold(model_places places);
+    model_demand demand() const;
+
+    boost::asio::awaitable<next_step> serve_at(reserved_places& reserved);
+    boost::asio::awaitable<std::optional<prefill_result>> read_prompt(const endpoint& at);
+    boost::asio::awaitable<next_step> decode_at(const endpoint& at, std::optional<prefill_result> read);
+    boost::asio::awaitable<next_step> pass_on(const endpoint& at, http::body_stream& stream);
+    boost::asio::awaitable<next_step> pass_failure_on(const endpoint& at, http::body_stream& stream);
+    next_step take_failure(const endpoint& at, const error& reason);
+    void release(const prefill_result& read);
+    bool may_send(int sends_before);
+    std::optional<error> reason_to_stop() const;
+    boost::asio::awaitable<void> finish(const error& reason);
+
+    forward_context& context;
+    request_in_hand hand;
+    avoided_endpoints avoided;
+    event_relay relay;
+    request_outcome outcome;
+    bool is_answer_open = false;
+    unsigned runs = 0;
+    int prefill_sends = 0;
+    int decode_sends = 0;
+    std::optional<error> refused;
+};
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/peer_exchange.cpp
@@ -0,0 +1,141 @@
+#include "forward/peer_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/pause.h"
+#include "http/server.h"
+#include "wire/codec.h"
+#include "wire/generated/radishstep_types.h"
+
+namespace radishstep::forward {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t max_datagram_bytes = 60UL * 1024;
+
+wire::EndpointLoad to_wire(const std::string& incarnation, const endpoint_load& work)
+{
+    wire::EndpointLoad row;
+    row.endpoint = incarnation;
+    row.calls = work.calls;
+    row.tokens = work.tokens;
+    row.unread = work.unread;
+    return row;
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(asio::any_io_executor executor, std::string host, fleet_load& load)
+    // The time of day makes the sequence grow over restarts; within a process only its order counts.
+    : socket(std::move(executor)), host(std::move(host)), load(load), sequence(wall_clock_ms())
+{
+}
+
+result<void> peer_exchange::open(const std::string& address)
+{
+    const auto parsed = http::parse_address(address);
+    if (!parsed)
+        return tl::unexpected{parsed.error()};
+    boost::system::error_code failure;
+    this->socket.open(asio::ip::udp::v4(), failure);
+    if (!failure)
+        this->socket.bind({parsed->address(), parsed->port()}, failure);
+    if (!failure)
+        this->socket.non_blocking(true, failure);
+    if (failure)
+        return fail(error_kind::bad_setting, "cannot use UDP at " + address + ": " + failure.message(),
+                    "choose an address of this host and a free port");
+    return {};
+}
+
+void peer_exchange::set_peers(const std::map<std::string, std::string>& addresses)
+{
+    this->peers.clear();
+    for (const auto& [name, address] : addresses) {
+        const auto parsed = http::parse_address(address);
+        if (name == this->host)
+            continue;
+        if (!parsed) {
+            log_problem("peer_unusable", {{"host", name}, {"cause", describe(parsed.error())}});
+            continue;
+        }
+        this->peers.emplace(name, asio::ip::udp::endpoint{parsed->address(), parsed->port()});
+    }
+}
+
+asio::awaitable<void> peer_exchange::send_reports()
+{
+    time_point last_sent;
+    while (true) {
+        const auto scaled = pause_per_peer * static_cast<milliseconds::rep>(this->peers.size());
+        co_await pause_for(std::max(shortest_pause, scaled));
+        const time_point now = runtime_clock::now();
+        if (!this->is_changed && last_sent + heartbeat > now)
+            continue;
+        this->is_changed = false;
+        last_sent = now;
+        const std::string report = this->encode_report();
+        for (const auto& [name, address] : this->peers) {
+            // A datagram that the network does not take is as good as lost; the next one makes it good.
+            boost::system::error_code failure;
+            this->socket.send_to(asio::buffer(report), address, 0, failure);
+            if (failure)
+                count("radishstep_forward_reports_unsent_total");
+        }
+    }
+}
+
+asio::awaitable<void> peer_exchange::receive_reports()
+{
+    std::string bytes(max_datagram_bytes, '\0');
+    asio::ip::udp::endpoint sender;
+    while (true) {
+        boost::system::error_code failure;
+        const std::size_t size = co_await this->socket.async_receive_from(
+            asio::buffer(bytes), sender, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure == asio::error::operation_aborted)
+            co_return;
+        if (!failure)
+            this->take_report({bytes.data(), size});
+    }
+}
+
+std::string peer_exchange::encode_report()
+{
+    wire::LoadReport report;
+    report.host = this->host;
+    report.sequence = ++this->sequence;
+    for (const auto& [incarnation, work] : this->load.own())
+        report.loads.push_back(to_wire(incarnation, work));
+    return wire::encode(report);
+}
+
+void peer_exchange::take_report(std::string_view bytes)
+{
+    const auto report = wire::decode_load_report(bytes);
+    if (!report || report->host == this->host) {
+        count("radishstep_forward_reports_unusable_total");
+        return;
+    }
+    std::int64_t& newest_of_host = this->newest[report->host];
+    // A host whose time of day was set back starts again with lower numbers; such a jump is no late datagram.
+    constexpr std::int64_t reordered_at_most = 1'000;
+    if (report->sequence <= newest_of_host && report->sequence + reordered_at_most > newest_of_host)
+        return;
+    newest_of_host = report->sequence;
+    load_table loads;
+    for (const wire::EndpointLoad& row : report->loads)
+        loads.insert_or_assign(row.endpoint, endpoint_load{row.calls, row.tokens, row.unread});
+    this->load.take_peer(report->host, std::move(loads), runtime_clock::now());
+}
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/peer_exchange.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "base/error.h"
+#include "base/runtime_clock.h"
+#include "forward/fleet_load.h"
+
+namespace radishstep::forward {
+
+/// Tells the other hosts what this host's requests do at the endpoints, and hears theirs. A lost
+/// datagram is made good by the next one: each carries the whole table.
+class peer_exchange
+{
+public:
+    /// Pause between reports for each host that hears them, so that the cost of a host's reports does
+    /// not grow with the square of the fleet.
+    static constexpr milliseconds pause_per_peer{2};
+    /// Shortest pause between reports: some requests' worth of changes go into one datagram.
+    static constexpr milliseconds shortest_pause{8};
+    /// A host that has nothing new to tell says so this often.
+    static constexpr milliseconds heartbeat{400};
+
+    peer_exchange(boost::asio::any_io_executor executor, std::string host, fleet_load& load);
+
+    /// Binds the socket, or returns what is wrong with the address.
+    result<void> open(const std::string& address);
+
+    /// Takes the hosts to tell, as "IP:port" by their names; this host itself is left out.
+    void set_peers(const std::map<std::string, std::string>& addresses);
+
+    /// Notes that the loads have changed.
+    void note_change() { this->is_changed = true; }
+
+    /// Sends reports until the process ends.
+    boost::asio::awaitable<void> send_reports();
+
+    /// Takes reports until the process ends.
+    boost::asio::awaitable<void> receive_reports();
+
+private:
+    std::string encode_report();
+    void take_report(std::string_view bytes);
+
+    boost::asio::ip::udp::socket socket;
+    std::string host;
+    fleet_load& load;
+    std::map<std::string, boost::asio::ip::udp::endpoint> peers;
+    std::map<std::string, std::int64_t> newest;
+    std::int64_t sequence;
+    bool is_changed = false;
+};
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/plain_forward.cpp
@@ -0,0 +1,146 @@
+#include "forward/plain_forward.h"
+
+#include <utility>
+
+#include "base/log.h"
+#include "forward/request_rules.h"
+
+namespace radishstep::forward {
+
+namespace asio = boost::asio;
+
+plain_forward::plain_forward(forward_context& context, request_in_hand hand) : context(context), hand(hand) {}
+
+asio::awaitable<request_outcome> plain_forward::run()
+{
+    while (true) {
+        this->failure = this->reason_to_stop();
+        if (this->failure)
+            break;
+        const time_point now = runtime_clock::now();
+        auto chosen = this->context.chooser.choose_plain(this->hand.service, this->tried, this->context.draw(), now);
+        if (!chosen) {
+            this->failure = error{error_kind::no_endpoint, "no endpoint of the service takes the request",
+                                  "come back after the given time"};
+            break;
+        }
+        if (this->outcome.sends > 0 && !this->context.budget.take(this->hand.service, now)) {
+            this->failure = error{error_kind::overloaded, "the retry budget is spent", "come back after the given time"};
+            break;
+        }
+        const next_step next = co_await this->send_to(std::move(*chosen));
+        if (next == next_step::done)
+            break;
+    }
+    co_await this->finish();
+    co_return this->outcome;
+}
+
+asio::awaitable<plain_forward::next_step> plain_forward::send_to(endpoint at)
+{
+    endpoint_load work;
+    work.calls = 1;
+    const std::string incarnation = at.incarnation();
+    const load_guard counted{this->context, incarnation, work};
+    http::call_options options;
+    options.connect_time = std::min(connect_time, this->hand.watch.left());
+    options.silence_time = this->hand.watch.left();
+    options.fresh_connection = !this->hand.way.is_repeatable;
+    options.abort = this->hand.watch.next_call();
+    options.is_ours = [this](const http::response& head) {
+        return this->context.dialect.judge(this->hand.asked, head) != answer_kind::foreign;
+    };
+    this->tried.insert(incarnation);
+    ++this->outcome.sends;
+    this->outcome.endpoint = at.id;
+    const time_point sent = runtime_clock::now();
+    http::request call = this->context.dialect.whole_call(this->hand.asked, at, this->hand.watch.left());
+    auto got = co_await this->context.calls.call(at.address, std::move(call), std::move(options));
+    const time_point now = runtime_clock::now();
+    log_decision("call_ended", {{"request", this->hand.asked.id},
+                                {"endpoint", at.id},
+                                {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - sent).count())},
+                                {"outcome", got ? std::to_string(got->status) : describe(got.error())}});
+    if (!got)
+        co_return this->take_failure(at, got.error());
+    co_return this->take_answer(at, std::move(*got));
+}
+
+plain_forward::next_step plain_forward::take_failure(const endpoint& at, const error& reason)
+{
+    const time_point now = runtime_clock::now();
+    const bool was_sent = reason.kind != error_kind::not_sent;
+    if (was_sent)
+        ++this->runs;
+    if (this->hand.watch.is_caller_gone())
+        return next_step::done;
+    this->context.health.record(at.incarnation(), was_sent ? call_outcome::lost : call_outcome::unreachable, now);
+    return next_step::try_again;
+}
+
+plain_forward::next_step plain_forward::take_answer(const endpoint& at, http::response got)
+{
+    const time_point now = runtime_clock::now();
+    const std::string incarnation = at.incarnation();
+    switch (this->context.dialect.judge(this->hand.asked, got)) {
+    case answer_kind::not_run:
+        this->context.health.record(incarnation, call_outcome::rejected, now);
+        return next_step::try_again;
+    case answer_kind::wrong_endpoint:
+        this->context.health.record(incarnation, call_outcome::unreachable, now);
+        return next_step::try_again;
+    case answer_kind::foreign:
+    case answer_kind::broken:
+        ++this->runs;
+        this->context.health.record(incarnation, call_outcome::failed, now);
+        return next_step::try_again;
+    case answer_kind::own:
+        break;
+    }
+    ++this->runs;
+    const bool is_good = got.status < first_failure_status;
+    this->context.health.record(incarnation, is_good ? call_outcome::answered : call_outcome::failed, now);
+    this->answer = std::move(got);
+    return is_good || !this->hand.way.is_repeatable ? next_step::done : next_step::try_again;
+}
+
+std::optional<error> plain_forward::reason_to_stop()
+{
+    if (this->hand.watch.is_caller_gone())
+        return error{error_kind::caller_gone, "the caller has left", ""};
+    if (this->runs > 0 && !this->hand.way.is_repeatable)
+        return error{error_kind::outcome_unknown, "the endpoint did not answer and may have run the request", ""};
+    if (this->runs >= this->hand.way.max_endpoints)
+        return error{error_kind::endpoint_failed, "no endpoint gave a whole answer", ""};
+    if (this->hand.watch.left() < least_useful_time)
+        return error{this->runs > 0 ? error_kind::deadline_exceeded : error_kind::overloaded,
+                     "the time for the request is over", "allow more time"};
+    if (this->outcome.sends >= most_sends)
+        return error{this->runs > 0 ? error_kind::endpoint_failed : error_kind::overloaded,
+                     "several endpoints could not take the request", "come back after the given time"};
+    return std::nullopt;
+}
+
+asio::awaitable<void> plain_forward::finish()
+{
+    if (this->hand.watch.is_caller_gone()) {
+        this->outcome.cause = "caller_gone";
+        co_return;
+    }
+    if (this->answer) {
+        http::response got = std::move(*this->answer);
+        http::response head = this->context.dialect.caller_head(got);
+        head.body = std::move(got.body);
+        this->outcome.status = head.status;
+        co_await this->hand.caller.send(std::move(head));
+        co_return;
+    }
+    const error reason = truthful_reason(*this->failure, this->runs > 0);
+    http::response refusal = this->context.dialect.refusal(
+        this->hand.asked.id, reason, come_back_after(this->runs > 0, this->hand.watch.left()));
+    this->outcome.status = refusal.status;
+    this->outcome.cause = reason.message;
+    co_await this->hand.caller.send(std::move(refusal));
+}
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/plain_forward.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "forward/call_watch.h"
+#include "forward/forward_context.h"
+
+namespace radishstep::forward {
+
+/// A request on its way, as the parts that serve it see it.
+struct request_in_hand
+{
+    const caller_request& asked;
+    const route& way;
+    const std::string& service;
+    http::reply& caller;
+    call_watch& watch;
+    time_point arrived;
+};
+
+/// How a request ended, for logs and metrics.
+struct request_outcome
+{
+    unsigned status = 0;
+    std::string cause;
+    std::string endpoint;
+    int sends = 0;
+
+    bool operator==(const request_outcome&) const = default;
+};
+
+/// Serves a request whose whole answer one endpoint makes.
+class plain_forward
+{
+public:
+    plain_forward(forward_context& context, request_in_hand hand);
+
+    /// Returns once the caller has its answer or is gone.
+    boost::asio::awaitable<request_outcome> run();
+
+private:
+    enum class next_step { done, try_again };
+
+    boost::asio::awaitable<next_step> send_to(endpoint at);
+    next_step take_failure(const endpoint& at, const error& failure);
+    next_step take_answer(const endpoint& at, http::response answer);
+    std::optional<error> reason_to_stop();
+    boost::asio::awaitable<void> finish();
+
+    forward_context& context;
+    request_in_hand hand;
+    avoided_endpoints tried;
+    /// The answer that the caller gets unless a better one comes.
+    std::optional<http::response> answer;
+    request_outcome outcome;
+    /// Endpoints on which the request ran or may have run.
+    unsigned runs = 0;
+    std::optional<error> failure;
+};
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/request_rules.cpp
@@ -0,0 +1,40 @@
+#include "forward/request_rules.h"
+
+#include <algorithm>
+
+namespace radishstep::forward {
+
+namespace {
+
+/// When a refused caller may come back: about the time in which a short crest passes.
+constexpr milliseconds usual_return{250};
+
+/// Callers honour at most a third of the time that they have left.
+constexpr int most_part_of_left = 3;
+
+bool promises_not_run(error_kind kind)
+{
+    constexpr unsigned too_many_requests = 429;
+    constexpr unsigned unavailable = 503;
+    constexpr unsigned request_timeout = 408;
+    const unsigned status = http_status(kind);
+    return status == too_many_requests || status == unavailable || status == request_timeout;
+}
+
+} // namespace
+
+error truthful_reason(const error& reason, bool may_have_run)
+{
+    if (!may_have_run || !promises_not_run(reason.kind))
+        return reason;
+    return {error_kind::outcome_unknown, reason.message, ""};
+}
+
+std::optional<milliseconds> come_back_after(bool may_have_run, milliseconds left)
+{
+    if (may_have_run)
+        return std::nullopt;
+    return std::min(usual_return, left / most_part_of_left);
+}
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/request_rules.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <optional>
+
+#include "base/error.h"
+#include "base/runtime_clock.h"
+
+namespace radishstep::forward {
+
+/// How long an endpoint may take to accept a connection: some round trips within the region. One that
+/// is down or cut off never answers, and another endpoint is tried in its place.
+constexpr milliseconds connect_time{120};
+
+/// A request with less time than this is not sent: an answer could not come back.
+constexpr milliseconds least_useful_time{20};
+
+/// How many endpoints are asked for one request that none of them runs.
+constexpr int most_sends = 4;
+
+/// Statuses from here on are failures of the endpoint.
+constexpr unsigned first_failure_status = 500;
+
+/// Returns the reason that a caller is told: one that promises "not run" only when nothing may have run.
+error truthful_reason(const error& reason, bool may_have_run);
+
+/// Returns when a refused caller may come back, or nothing when the request may have run.
+std::optional<milliseconds> come_back_after(bool may_have_run, milliseconds left);
+
+} // namespace radishstep::forward
--- /dev/null
+++ b/src/forward/retry_budget.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "base/runtime_clock.h"
+
+namespace radishstep::forward {
+
+/// How much may be sent beyond the first call of each request, over all hosts together.
+struct retry_limits
+{
+    /// Extra calls for each request, over the window.
+    double ratio = 0.2;
+    milliseconds window{10'000};
+    /// Extra calls that are allowed at any load.
+    double slack = 10;
+
+    bool operator==(const retry_limits&) const = default;
+};
+
+/// One host's share of the retry budget of each service. Each host keeps to a share that is safe when
+/// all spend at once, so no message is needed.
+class retry_budget
+{
+public:
+    /// Parts of a window's limit that are left unused: other hosts' windows and calls on their way
+    /// do not line up with ours.
+    static constexpr double safe_part = 0.9;
+
+    /// Sets the limits of the fleet and how many hosts share them.
+    void configure(retry_limits limits, std::size_t hosts);
+
+    /// Counts a caller's request for the service.
+    void count_request(const std::string& service, time_point now);
+
+    /// Returns whether one more extra call may be sent, and counts it if so.
+    bool take(const std::string& service, time_point now);
+
+    /// Returns the extra calls that are left.
+    double left(const std::string& service, time_point now);
+
+private:
+    struct account
+    {
+        std::deque<time_point> requests;
+        std::deque<time_point> extras;
+    };
+
+    account& recent(const std::string& service, time_point now);
+
+    retry_limits limits;
+    std::size_t hosts = 1;
+    std::map<std::string, account> accounts;
+};
+
+} // namespace radishstep::forward
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "base/text.h"
+#include "http/dead_peer.h"
 #include "http/server.h"
 
 namespace radishstep::http {
@@ -33,6 +35,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     time_point idle_since;
+    runtime_clock::duration idle_limit = max_idle_time;
 };
 
 using connection_ptr = std::shared_ptr<connection>;
@@ -80,6 +83,22 @@
     return failure == asio::error::would_block;
 }
 
+/// Returns how long the endpoint keeps an idle connection, less a margin for a call that is on its way.
+runtime_clock::duration idle_limit_of(const response& answer)
+{
+    constexpr std::string_view timeout_start = "timeout=";
+    constexpr milliseconds margin{400};
+    const std::string_view announced = find_header(answer.lines, "Keep-Alive");
+    const std::size_t start = announced.find(timeout_start);
+    if (start == std::string_view::npos)
+        return max_idle_time;
+    std::string_view number = announced.substr(start + timeout_start.size());
+    const auto seconds = to_integer(number.substr(0, number.find_first_of(", ")));
+    if (!seconds)
+        return max_idle_time;
+    return std::max(std::chrono::seconds{*seconds} - margin, milliseconds{0});
+}
+
 void arm(const call_options& options, const connection_ptr& used)
 {
     if (!options.abort)
@@ -126,7 +145,7 @@
         while (!queue.empty()) {
             connection_ptr candidate = queue.back();
             queue.pop_back();
-            const bool is_fresh = candidate->idle_since + max_idle_time > runtime_clock::now();
+            const bool is_fresh = candidate->idle_since + candidate->idle_limit > runtime_clock::now();
             if (is_fresh && is_still_usable(*candidate))
                 return candidate;
         }
@@ -162,8 +181,7 @@
         if (failure)
             co_return fail(error_kind::not_sent, "cannot reach " + address + ": " + failure.message(),
                            "start the endpoint or take it out of the configuration");
-        error_code ignored;
-        fresh->stream.socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
+        detect_dead_peer(fresh->stream.socket());
         co_return fresh;
     }
 
@@ -236,7 +254,7 @@
                 co_return lost(failure);
             part.assign(this->scratch.data(), this->scratch.size() - body.size);
         }
-        if (part.empty() && this->parser.keep_alive() && !std::exchange(this->returned, true))
+        if (part.empty() && this->parser.keep_alive() && !this->options.fresh_connection && !std::exchange(this->returned, true))
             this->pool->give_back(this->address, this->used);
         co_return part;
     }
@@ -281,7 +299,10 @@
     auto message = parser.release();
     response answer = to_response(message);
     answer.body = std::move(message.body());
-    if (message.keep_alive())
+    if (options.is_ours && !options.is_ours(answer))
+        co_return fail(error_kind::protocol, "the answer belongs to another call", "see the endpoint's own log");
+    (*used)->idle_limit = idle_limit_of(answer);
+    if (message.keep_alive() && !message.need_eof() && !options.fresh_connection)
         pool->give_back(address, *used);
     co_return answer;
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -38,8 +38,12 @@
 {
     milliseconds connect_time{1'000};
     milliseconds silence_time{5'000};
+    /// The call gets a connection of its own, which is closed after it.
     bool fresh_connection = false;
     std::shared_ptr<call_abort> abort;
+    /// Tells whether an answer belongs to this call; another call's answer makes the call fail with
+    /// `protocol` and closes the connection. Without the hook, each answer belongs to its call.
+    std::function<bool(const response&)> is_ours;
 };
 
 /// A response whose body arrives in parts.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -20,6 +20,7 @@
 #include "base/metrics.h"
 #include "base/runtime_clock.h"
 #include "base/text.h"
+#include "http/dead_peer.h"
 
 namespace radishstep::http {
 
@@ -36,6 +37,7 @@
     std::size_t connections = 0;
     std::size_t requests = 0;
     bool draining = false;
+    bool keeps_connections = true;
 };
 
 namespace {
@@ -79,8 +81,7 @@
         : stream(std::move(socket)), limit(this->stream.get_executor()), state(std::move(state))
     {
         ++this->state->connections;
-        error_code ignored;
-        this->stream.socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
+        detect_dead_peer(this->stream.socket());
     }
 
     ~session() override { --this->state->connections; }
@@ -152,7 +153,7 @@
     void on_caller_gone(std::function<void()> hook) override { this->gone_hook = std::move(hook); }
 
 private:
-    bool keeps_alive() const { return this->wants_keep_alive && !this->state->draining; }
+    bool keeps_alive() const { return this->wants_keep_alive && this->state->keeps_connections; }
 
     bool note(const error_code& failure)
     {
@@ -360,10 +361,21 @@
 void server::drain()
 {
     this->state->draining = true;
+    this->state->keeps_connections = false;
     error_code ignored;
     this->state->listener.close(ignored);
 }
 
+void server::stop_keeping()
+{
+    this->state->keeps_connections = false;
+}
+
+void server::set_limits(server_limits limits)
+{
+    this->state->limits = limits;
+}
+
 std::size_t server::requests_in_progress() const
 {
     return this->state->requests;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -55,6 +55,12 @@
     /// Stops accepting; connections end after the answer in progress.
     void drain();
 
+    /// Connections end after their next answer; new ones are still accepted.
+    void stop_keeping();
+
+    /// Takes new limits, in force from the next request of each connection.
+    void set_limits(server_limits limits);
+
     /// Returns how many requests are being answered.
     std::size_t requests_in_progress() const;
 
--- a/src/platform/claim_store.cpp
+++ b/src/keyvalue/claim_store.cpp
@@ -1,4 +1,4 @@
-#include "platform/claim_store.h"
+#include "keyvalue/claim_store.h"
 
 #include <utility>
 
@@ -11,7 +11,7 @@
 #include "base/metrics.h"
 #include "base/pause.h"
 #include "base/text.h"
-#include "platform/kv_client.h"
+#include "keyvalue/kv_client.h"
 
 namespace radishstep {
 
--- a/src/platform/host_list_client.cpp
+++ b/src/keyvalue/host_list_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/host_list_client.h"
+#include "keyvalue/host_list_client.h"
 
 #include <utility>
 
--- /dev/null
+++ b/src/keyvalue/key_value_source.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "base/error.h"
+#include "base/runtime_clock.h"
+
+namespace radishstep {
+
+/// A change of one key; without a value, the key is gone.
+struct stored_change
+{
+    std::string key;
+    std::optional<std::string> value;
+    std::int64_t revision = 0;
+
+    bool operator==(const stored_change&) const = default;
+};
+
+/// All keys with a prefix.
+struct stored_range
+{
+    std::vector<stored_change> items;
+    /// The service's revision from which on a watch tells of changes.
+    std::int64_t revision = 0;
+
+    bool operator==(const stored_range&) const = default;
+};
+
+/// What a watch has to tell.
+struct stored_news
+{
+    std::vector<stored_change> changes;
+    std::int64_t revision = 0;
+    /// The service no longer has the changes since the given revision: read everything again.
+    bool is_history_lost = false;
+
+    bool operator==(const stored_news&) const = default;
+};
+
+/// A key-value service with a revision counter, watches and leases. Errors are `unavailable`.
+class key_value_source
+{
+public:
+    virtual ~key_value_source() = default;
+
+    /// Returns all keys that begin with `prefix`.
+    virtual boost::asio::awaitable<result<stored_range>> read_all(std::string prefix) = 0;
+
+    /// Waits up to `wait` for changes after `revision`.
+    virtual boost::asio::awaitable<result<stored_news>> watch(std::string prefix, std::int64_t revision,
+                                                              milliseconds wait) = 0;
+
+    /// Returns a new lease that lasts for `span` from each renewal.
+    virtual boost::asio::awaitable<result<std::int64_t>> take_lease(milliseconds span) = 0;
+
+    /// Renews a lease; returns false when it has ended.
+    virtual boost::asio::awaitable<result<bool>> renew_lease(std::int64_t lease) = 0;
+
+    /// Writes a key under a lease; returns false when the lease has ended.
+    virtual boost::asio::awaitable<result<bool>> put(std::string key, std::string value, std::int64_t lease) = 0;
+};
+
+} // namespace radishstep
--- a/src/platform/kv_client.cpp
+++ b/src/keyvalue/kv_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/kv_client.h"
+#include "keyvalue/kv_client.h"
 
 #include <utility>
 
--- a/src/radishctl/command_context.h
+++ b/src/radishctl/command_context.h
@@ -8,7 +8,7 @@
 #include "base/error.h"
 #include "base/settings.h"
 #include "http/client.h"
-#include "platform/kv_client.h"
+#include "keyvalue/kv_client.h"
 
 namespace radishstep {
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -73,4 +73,14 @@
     return decode_value<Gossip>(bytes);
 }
 
+std::string encode(const LoadReport& report)
+{
+    return encode_value(report);
+}
+
+result<LoadReport> decode_load_report(std::string_view bytes)
+{
+    return decode_value<LoadReport>(bytes);
+}
+
 } // namespace radishstep::wire
--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -151,3 +151,18 @@
   6: i64 stamp
   7: i64 config_version
 }
+
+struct EndpointLoad {
+  1: string endpoint
+  2: i32 calls
+  3: i64 tokens
+  4: i64 unread
+}
+
+// What a host's requests do at the endpoints.
+struct LoadReport {
+  1: string host
+  // Grows with each report of the host, also over its restarts.
+  2: i64 sequence
+  3: list<EndpointLoad> loads
+}
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -8,7 +8,7 @@
 #include "http/event_stream.h"
 #include "load/load_report.h"
 #include "membership/member_wire.h"
-#include "platform/claim_store.h"
+#include "keyvalue/claim_store.h"
 #include "routing/permit_wire.h"
 #include "wire/codec.h"
 #include "wire/generated/radishstep_types.h"
--- a/tests/unit/test_completion_api.cpp
+++ b/tests/unit/test_completion_api.cpp
@@ -4,7 +4,7 @@
 #include "entry/entry_settings.h"
 #include "http/event_stream.h"
 #include "http/message.h"
-#include "platform/claim_store.h"
+#include "keyvalue/claim_store.h"
 
 namespace {
 
--- a/tests/unit/test_exploration.cpp
+++ b/tests/unit/test_exploration.cpp
@@ -6,7 +6,7 @@
 #include <set>
 #include <sstream>
 
-#include "platform/claim_store.h"
+#include "keyvalue/claim_store.h"
 #include "routing/request_machine.h"
 
 namespace {
