Count what streams hold now, and serve first who can still be on time

Cause: a place was reserved for a prompt and the longest answer, 5,400 tokens where 3,900 are held on average, and requests that had missed their objective kept the others from theirs. Change: memory is counted as it grows, with room kept for about a second of growth; a request that can no longer meet its objective falls behind those that can, on all hosts.

--- a/src/forward/endpoint_chooser.cpp
+++ b/src/forward/endpoint_chooser.cpp
@@ -36,9 +36,9 @@
 
 } // namespace
 
-std::int64_t model_demand::memory() const
+std::int64_t model_demand::prompt_memory() const
 {
-    return in_blocks(this->prompt_tokens + this->output_tokens);
+    return in_blocks(this->prompt_tokens);
 }
 
 endpoint_chooser::endpoint_chooser(const endpoint_directory& directory, const fleet_load& load,
@@ -115,7 +115,8 @@
 {
     const std::string incarnation = at.incarnation();
     const auto unread = static_cast<double>(this->load.at(incarnation, now).unread + prompt_tokens);
-    return milliseconds{static_cast<std::int64_t>(unread / reading_speed * this->health.pace(incarnation, now))};
+    const double reading_ms = unread / reading_speed * this->health.pace(incarnation, now);
+    return reading_start + milliseconds{static_cast<std::int64_t>(reading_ms)};
 }
 
 std::vector<const endpoint*> endpoint_chooser::candidates(const std::string& service, endpoint_phase phase,
@@ -135,8 +136,8 @@
         return false;
     if (there.calls == 0)
         return true;
-    const auto room = static_cast<std::int64_t>(static_cast<double>(demand.memory_tokens) * memory_part);
-    return there.tokens + demand.memory() <= room;
+    const std::int64_t growth = growth_tokens * (there.calls + 1);
+    return there.tokens + demand.prompt_memory() + growth <= demand.memory_tokens;
 }
 
 } // namespace radishstep::forward
--- a/src/forward/endpoint_chooser.h
+++ b/src/forward/endpoint_chooser.h
@@ -32,15 +32,13 @@
 {
     std::string service;
     std::int64_t prompt_tokens = 0;
-    /// Likely length of the answer.
-    std::int64_t output_tokens = 0;
     /// Tokens that fit into an engine's memory.
     std::int64_t memory_tokens = 0;
 
     bool operator==(const model_demand&) const = default;
 
-    /// Returns what the request takes of an engine's memory, which is given out in blocks.
-    std::int64_t memory() const;
+    /// Returns what the prompt takes of an engine's memory, which is given out in blocks.
+    std::int64_t prompt_memory() const;
 };
 
 /// Why no place was found.
@@ -58,8 +56,11 @@
     /// Extra time that reading at the decode engine has to save before it is preferred: it slows the
     /// streams that run there.
     static constexpr milliseconds own_reading_penalty{250};
-    /// Part of an engine's memory that is given out; the rest covers answers longer than expected.
-    static constexpr double memory_part = 0.92;
+    /// What a request costs a prefill engine before its prompt is read.
+    static constexpr milliseconds reading_start{50};
+    /// Memory kept free for each running stream: what its answer grows by in about a second, within which
+    /// some other stream ends and gives its memory back.
+    static constexpr std::int64_t growth_tokens = 272;
 
     endpoint_chooser(const endpoint_directory& directory, const fleet_load& load, const endpoint_health& health,
                      std::string zone);
--- a/src/forward/fleet_load.cpp
+++ b/src/forward/fleet_load.cpp
@@ -33,9 +33,25 @@
         this->own_loads.erase(incarnation);
 }
 
-void fleet_load::take_peer(const std::string& host, load_table loads, time_point now)
+void fleet_load::grow(const std::string& incarnation, std::int64_t tokens)
 {
-    this->peers.insert_or_assign(host, peer_word{std::move(loads), now});
+    if (const auto found = this->own_loads.find(incarnation); found != this->own_loads.end())
+        found->second.tokens += tokens;
+}
+
+void fleet_load::take_peer(const std::string& host, load_table loads, int waiting, time_point now)
+{
+    this->peers.insert_or_assign(host, peer_word{std::move(loads), waiting, now});
+}
+
+int fleet_load::waiting_elsewhere(time_point now) const
+{
+    int sum = 0;
+    for (const auto& [host, word] : this->peers) {
+        if (word.heard + peer_memory > now)
+            sum += word.waiting;
+    }
+    return sum;
 }
 
 endpoint_load fleet_load::at(const std::string& incarnation, time_point now) const
--- a/src/forward/fleet_load.h
+++ b/src/forward/fleet_load.h
@@ -39,8 +39,15 @@
     /// Counts work that ends at an endpoint; `work` is what begin() was told.
     void end(const std::string& incarnation, endpoint_load work);
 
-    /// Takes another host's table; older ones of the same host are replaced.
-    void take_peer(const std::string& host, load_table loads, time_point now);
+    /// Counts that work in progress takes more memory now.
+    void grow(const std::string& incarnation, std::int64_t tokens);
+
+    /// Takes another host's table, and how many requests wait there that can still meet their objective;
+    /// older words of the same host are replaced.
+    void take_peer(const std::string& host, load_table loads, int waiting, time_point now);
+
+    /// Returns how many requests wait at other hosts that can still meet their objective.
+    int waiting_elsewhere(time_point now) const;
 
     /// Returns the work of all hosts at an endpoint.
     endpoint_load at(const std::string& incarnation, time_point now) const;
@@ -52,6 +59,7 @@
     struct peer_word
     {
         load_table loads;
+        int waiting = 0;
         time_point heard;
     };
 
--- a/src/forward/forward_config.h
+++ b/src/forward/forward_config.h
@@ -51,6 +51,8 @@
     std::string name;
     /// Tokens that fit into an engine's memory; 0 for a plain service.
     std::int64_t memory_tokens = 0;
+    /// Tokens in one event of a stream.
+    std::int64_t tokens_per_event = 1;
     /// How long a prefill result is kept for the decode engine that fetches it.
     milliseconds prefill_lifetime{500};
 
--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -16,6 +16,14 @@
     return std::uniform_real_distribution<double>{0, 1}(this->random);
 }
 
+int forward_context::waiting_on_time() const
+{
+    std::size_t sum = 0;
+    for (const auto& [service, line] : this->lines)
+        sum += line.on_time();
+    return static_cast<int>(sum);
+}
+
 load_guard::load_guard(forward_context& context, std::string incarnation, endpoint_load work)
     : context(context), incarnation(std::move(incarnation)), work(work)
 {
@@ -29,6 +37,12 @@
     this->end();
 }
 
+void load_guard::grow(std::int64_t tokens)
+{
+    this->work.tokens += tokens;
+    this->context.load.grow(this->incarnation, tokens);
+}
+
 void load_guard::end()
 {
     if (std::exchange(this->ended, true))
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -38,6 +38,9 @@
     std::function<void()> on_load_change;
     std::mt19937_64 random;
 
+    /// Returns how many requests wait here that can still meet their objective.
+    int waiting_on_time() const;
+
     /// Returns a uniform draw from [0, 1).
     double draw();
 };
@@ -51,6 +54,9 @@
     load_guard(const load_guard&) = delete;
     load_guard& operator=(const load_guard&) = delete;
 
+    /// Counts that the work takes more memory now.
+    void grow(std::int64_t tokens);
+
     /// Ends the work before the guard's own end; a second end does nothing.
     void end();
 
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -58,7 +58,9 @@
                  key_value_source& store, site_documents documents)
     : io(io), settings(std::move(settings)), store(store), documents(std::move(documents)),
       context(io.get_executor(), dialect, this->settings.zone),
-      peers(io.get_executor(), this->settings.host, this->context.load), signals(io, SIGTERM, SIGINT, SIGHUP)
+      peers(io.get_executor(), this->settings.host, this->context.load,
+            [this] { return this->context.waiting_on_time(); }),
+      signals(io, SIGTERM, SIGINT, SIGHUP)
 {
     this->context.budget.configure(this->settings.retries, unknown_hosts);
     this->context.on_load_change = [this] { this->peers.note_change(); };
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -34,9 +34,11 @@
 
 } // namespace
 
-peer_exchange::peer_exchange(asio::any_io_executor executor, std::string host, fleet_load& load)
+peer_exchange::peer_exchange(asio::any_io_executor executor, std::string host, fleet_load& load,
+                             std::function<int()> waiting)
     // The time of day makes the sequence grow over restarts; within a process only its order counts.
-    : socket(std::move(executor)), host(std::move(host)), load(load), sequence(wall_clock_ms())
+    : socket(std::move(executor)), host(std::move(host)), load(load), waiting(std::move(waiting)),
+      sequence(wall_clock_ms())
 {
 }
 
@@ -114,6 +116,7 @@
     wire::LoadReport report;
     report.host = this->host;
     report.sequence = ++this->sequence;
+    report.waiting = this->waiting();
     for (const auto& [incarnation, work] : this->load.own())
         report.loads.push_back(to_wire(incarnation, work));
     return wire::encode(report);
@@ -135,7 +138,7 @@
     load_table loads;
     for (const wire::EndpointLoad& row : report->loads)
         loads.insert_or_assign(row.endpoint, endpoint_load{row.calls, row.tokens, row.unread});
-    this->load.take_peer(report->host, std::move(loads), runtime_clock::now());
+    this->load.take_peer(report->host, std::move(loads), report->waiting, runtime_clock::now());
 }
 
 } // namespace radishstep::forward
--- a/src/forward/peer_exchange.h
+++ b/src/forward/peer_exchange.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -27,7 +28,9 @@
     /// A host that has nothing new to tell says so this often.
     static constexpr milliseconds heartbeat{400};
 
-    peer_exchange(boost::asio::any_io_executor executor, std::string host, fleet_load& load);
+    /// `waiting` returns how many requests wait on this host that can still meet their objective.
+    peer_exchange(boost::asio::any_io_executor executor, std::string host, fleet_load& load,
+                  std::function<int()> waiting);
 
     /// Binds the socket, or returns what is wrong with the address.
     result<void> open(const std::string& address);
@@ -51,6 +54,7 @@
     boost::asio::ip::udp::socket socket;
     std::string host;
     fleet_load& load;
+    std::function<int()> waiting;
     std::map<std::string, boost::asio::ip::udp::endpoint> peers;
     std::map<std::string, std::int64_t> newest;
     std::int64_t sequence;
--- a/src/forward/waiting_line.h
+++ b/src/forward/waiting_line.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -7,16 +8,28 @@
 
 namespace radishstep::forward {
 
-/// The order in which requests of one service get places: the more urgent first, then the earlier.
+/// The order in which requests of one service get places. Those that can still be answered within
+/// their objective go first, since for the others a little more waiting changes nothing; among equals,
+/// the more urgent and then the earlier.
 class waiting_line
 {
 public:
     /// A place in the line; smaller ones are served first.
-    using ticket = std::pair<int, std::uint64_t>;
+    struct ticket
+    {
+        bool is_late = false;
+        int priority = 0;
+        std::uint64_t number = 0;
+
+        auto operator<=>(const ticket&) const = default;
+    };
 
     /// Joins the line; priority 0 is the most urgent.
     ticket join(int priority);
 
+    /// Puts a request that can no longer meet its objective behind those that can.
+    ticket fall_back(const ticket& place);
+
     /// Leaves the line, served or not.
     void leave(const ticket& place);
 
@@ -26,6 +39,9 @@
     /// Returns how many requests wait.
     std::size_t size() const { return this->tickets.size(); }
 
+    /// Returns how many requests wait that can still meet their objective.
+    std::size_t on_time() const;
+
 private:
     std::set<ticket> tickets;
     std::uint64_t next = 0;
--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -165,4 +165,6 @@
   // Grows with each report of the host, also over its restarts.
   2: i64 sequence
   3: list<EndpointLoad> loads
+  // Requests that wait there and can still meet their objective.
+  4: i32 waiting
 }
