Try a read prompt at another decode engine when the first is full

Change: the result is kept for its lifetime and offered to another decode engine; hosts report each 150 ms what their streams hold.

--- a/src/forward/endpoint_chooser.cpp
+++ b/src/forward/endpoint_chooser.cpp
@@ -20,6 +20,13 @@
 
 /// What an endpoint that is avoided costs in the score: it is used when all others are out.
 constexpr double avoided_weight = 1'000;
+constexpr double avoided_ms = 1e6;
+
+/// What fetching a read prompt from another zone costs: it takes twice as long, on links that others use.
+constexpr double far_transfer_ms = 40;
+
+/// Random part of a model engine's score, for the same reason as for plain endpoints.
+constexpr double jitter_ms = 25;
 
 std::int64_t in_blocks(std::int64_t tokens)
 {
@@ -72,9 +79,6 @@
                                                                     const avoided_endpoints& avoided, double draw,
                                                                     time_point now) const
 {
-    constexpr double far_transfer_ms = 40;
-    constexpr double jitter_ms = 25;
-    constexpr double avoided_ms = 1e6;
     const auto decoders = this->candidates(demand.service, endpoint_phase::decode, avoided, now);
     const auto readers = this->candidates(demand.service, endpoint_phase::prefill, avoided, now);
     if (decoders.empty())
@@ -92,12 +96,9 @@
     for (const endpoint* decoder : decoders) {
         if (!this->has_room(*decoder, demand, now))
             continue;
-        const std::string incarnation = decoder->incarnation();
-        const endpoint_load there = this->load.at(incarnation, now);
-        double decode_ms = 10.0 * there.calls * this->health.pace(incarnation, now);
-        decode_ms += this->health.is_avoided(incarnation, now) ? avoided_ms : 0;
-        const double own_reading =
-            static_cast<double>(there.unread + demand.prompt_tokens) / reading_speed * own_reading_factor;
+        const double decode_ms = this->decoding_ms(*decoder, now);
+        const std::int64_t unread = this->load.at(decoder->incarnation(), now).unread + demand.prompt_tokens;
+        const double own_reading = static_cast<double>(unread) / reading_speed * own_reading_factor;
         weigh(nullptr, *decoder, decode_ms + own_reading + to_ms(own_reading_penalty));
         for (const endpoint* reader : readers) {
             double ms = decode_ms + to_ms(this->reading_time(*reader, demand.prompt_tokens, now));
@@ -111,6 +112,41 @@
     return *best;
 }
 
+tl::expected<model_places, no_place> endpoint_chooser::choose_decoder(const model_demand& demand,
+                                                                      const std::string& reader_zone,
+                                                                      const avoided_endpoints& avoided, double draw,
+                                                                      time_point now) const
+{
+    const auto decoders = this->candidates(demand.service, endpoint_phase::decode, avoided, now);
+    if (decoders.empty())
+        return tl::unexpected{no_place::no_endpoint};
+    const endpoint* best = nullptr;
+    double best_ms = std::numeric_limits<double>::max();
+    std::size_t index = 0;
+    for (const endpoint* decoder : decoders) {
+        if (!this->has_room(*decoder, demand, now))
+            continue;
+        double ms = this->decoding_ms(*decoder, now) + jitter_ms * mixed(draw, index++);
+        ms += decoder->zone == reader_zone ? 0 : far_transfer_ms;
+        if (ms < best_ms) {
+            best_ms = ms;
+            best = decoder;
+        }
+    }
+    if (best == nullptr)
+        return tl::unexpected{no_place::full};
+    return model_places{std::nullopt, *best};
+}
+
+double endpoint_chooser::decoding_ms(const endpoint& at, time_point now) const
+{
+    // What one more running stream costs the others of its engine, in the time to their next tokens.
+    constexpr double ms_per_stream = 10;
+    const std::string incarnation = at.incarnation();
+    const double ms = ms_per_stream * this->load.at(incarnation, now).calls * this->health.pace(incarnation, now);
+    return this->health.is_avoided(incarnation, now) ? ms + avoided_ms : ms;
+}
+
 milliseconds endpoint_chooser::reading_time(const endpoint& at, std::int64_t prompt_tokens, time_point now) const
 {
     const std::string incarnation = at.incarnation();
--- a/src/forward/endpoint_chooser.h
+++ b/src/forward/endpoint_chooser.h
@@ -73,12 +73,18 @@
     tl::expected<model_places, no_place> choose_model(const model_demand& demand, const avoided_endpoints& avoided,
                                                       double draw, time_point now) const;
 
+    /// Returns the decode engine for a prompt that an engine in `reader_zone` has read, or why there is none.
+    tl::expected<model_places, no_place> choose_decoder(const model_demand& demand, const std::string& reader_zone,
+                                                        const avoided_endpoints& avoided, double draw,
+                                                        time_point now) const;
+
     /// Returns how long the prompt would wait and be read at a prefill engine.
     milliseconds reading_time(const endpoint& at, std::int64_t prompt_tokens, time_point now) const;
 
 private:
     std::vector<const endpoint*> candidates(const std::string& service, endpoint_phase phase,
                                             const avoided_endpoints& avoided, time_point now) const;
+    double decoding_ms(const endpoint& at, time_point now) const;
     bool has_room(const endpoint& at, const model_demand& demand, time_point now) const;
 
     const endpoint_directory& directory;
--- a/src/forward/model_forward.cpp
+++ b/src/forward/model_forward.cpp
@@ -22,6 +22,9 @@
 constexpr milliseconds prefill_margin{500};
 constexpr double prefill_factor = 2.5;
 
+/// A read prompt is not fetched in the last part of its time: the call would arrive too late.
+constexpr milliseconds fetch_margin{60};
+
 /// How long a stream that may go on elsewhere can stay silent: longer pauses lose the caller.
 constexpr milliseconds silence_of_movable_stream{1'200};
 
@@ -65,6 +68,7 @@
             break;
         }
     }
+    this->release_prompt();
     if (reason)
         co_await this->finish(*reason);
     this->outcome.sends = this->prefill_sends + this->decode_sends;
@@ -87,7 +91,7 @@
     endpoint_load decoding;
     decoding.calls = 1;
     decoding.tokens = wanted.prompt_memory();
-    decoding.unread = places.prefill ? 0 : wanted.prompt_tokens;
+    decoding.unread = places.prefill || this->read ? 0 : wanted.prompt_tokens;
     reserved_places held;
     held.decoding = std::make_unique<load_guard>(this->context, places.decode.incarnation(), decoding);
     if (places.prefill) {
@@ -148,6 +152,10 @@
     const bool others_first = place.is_late && this->context.load.waiting_elsewhere(now) > 0;
     if (others_first || !line.is_first(place))
         return tl::unexpected{no_place::full};
+    if (this->has_kept_prompt())
+        return this->context.chooser.choose_decoder(this->demand(), this->read->zone, this->avoided,
+                                                    this->context.draw(), now);
+    this->read.reset();
     return this->context.chooser.choose_model(this->demand(), this->avoided, this->context.draw(), now);
 }
 
@@ -159,26 +167,27 @@
 
 asio::awaitable<model_forward::next_step> model_forward::serve_at(reserved_places& reserved)
 {
-    std::optional<prefill_result> read;
     if (reserved.places.prefill) {
         const endpoint reader = *reserved.places.prefill;
         if (!this->may_send(this->prefill_sends))
             co_return next_step::done;
-        read = co_await this->read_prompt(reader);
+        const bool is_read = co_await this->read_prompt(reader);
         reserved.reading->end();
-        if (!read) {
+        if (!is_read) {
             this->avoided.insert(reader.incarnation());
             co_return next_step::try_again;
         }
     }
-    if (this->hand.watch.is_caller_gone()) {
-        if (read)
-            this->release(*read);
+    if (this->hand.watch.is_caller_gone())
         co_return next_step::try_again;
-    }
     if (!this->may_send(this->decode_sends))
         co_return next_step::done;
-    co_return co_await this->decode_at(reserved.places.decode, *reserved.decoding, std::move(read));
+    co_return co_await this->decode_at(reserved.places.decode, *reserved.decoding);
+}
+
+bool model_forward::has_kept_prompt() const
+{
+    return this->read && runtime_clock::now() < this->read->until;
 }
 
 bool model_forward::may_send(int sends_before)
@@ -189,7 +198,7 @@
     return false;
 }
 
-asio::awaitable<std::optional<prefill_result>> model_forward::read_prompt(const endpoint& at)
+asio::awaitable<bool> model_forward::read_prompt(const endpoint& at)
 {
     const time_point sent = runtime_clock::now();
     const milliseconds expected = this->context.chooser.reading_time(at, 0, sent);
@@ -213,25 +222,27 @@
                                    {"expected_ms", std::to_string(expected.count())},
                                    {"outcome", got ? std::to_string(got->status) : describe(got.error())}});
     if (this->hand.watch.is_caller_gone())
-        co_return std::nullopt;
+        co_return false;
     if (!got) {
         const bool was_sent = got.error().kind != error_kind::not_sent;
         this->context.health.record(at.incarnation(), was_sent ? call_outcome::lost : call_outcome::unreachable, now);
-        co_return std::nullopt;
+        co_return false;
     }
-    auto read = this->context.dialect.read_prefill(at, *got);
-    if (!read) {
+    auto result = this->context.dialect.read_prefill(at, *got);
+    if (!result) {
         const bool is_full = this->context.dialect.judge(this->hand.asked, *got) == answer_kind::not_run;
         this->context.health.record(at.incarnation(), is_full ? call_outcome::rejected : call_outcome::failed, now);
-        co_return std::nullopt;
+        co_return false;
     }
     this->context.health.record(at.incarnation(), call_outcome::answered, now);
     this->context.health.record_pace(at.incarnation(), to_ms(now - sent) / to_ms(usual), now);
-    co_return std::move(*read);
+    const service* known = this->context.config->find_service(this->hand.service);
+    const milliseconds lifetime = known == nullptr ? milliseconds{0} : known->prefill_lifetime;
+    this->read = kept_prompt{std::move(*result), at.zone, now + lifetime - fetch_margin};
+    co_return true;
 }
 
-asio::awaitable<model_forward::next_step> model_forward::decode_at(const endpoint& at, load_guard& place,
-                                                                   std::optional<prefill_result> read)
+asio::awaitable<model_forward::next_step> model_forward::decode_at(const endpoint& at, load_guard& place)
 {
     const time_point sent = runtime_clock::now();
     http::call_options options;
@@ -244,8 +255,9 @@
     ++this->decode_sends;
     this->outcome.endpoint = at.id;
     this->avoided.insert(at.incarnation());
-    http::request call =
-        this->context.dialect.decode_call(this->hand.asked, at, this->hand.watch.left(), read, this->relay.last_event());
+    const std::optional<prefill_result> source = this->read ? std::optional{this->read->result} : std::nullopt;
+    http::request call = this->context.dialect.decode_call(this->hand.asked, at, this->hand.watch.left(), source,
+                                                           this->relay.last_event());
     auto stream = co_await this->context.calls.open(at.address, std::move(call), std::move(options));
     log_decision("decode_answered", {{"request", this->hand.asked.id},
                                      {"endpoint", at.id},
@@ -264,12 +276,14 @@
         co_return next_step::try_again;
     case answer_kind::foreign:
     case answer_kind::broken:
+        this->read.reset();
         ++this->runs;
         this->context.health.record(at.incarnation(), call_outcome::failed, now);
         co_return next_step::try_again;
     case answer_kind::own:
         break;
     }
+    this->read.reset();
     ++this->runs;
     if ((*stream)->head().status >= first_failure_status)
         co_return co_await this->pass_failure_on(at, **stream);
@@ -336,6 +350,8 @@
 model_forward::next_step model_forward::take_failure(const endpoint& at, const error& reason)
 {
     const bool was_sent = reason.kind != error_kind::not_sent;
+    if (was_sent)
+        this->read.reset();
     if (was_sent && !this->is_answer_open)
         ++this->runs;
     log_decision("stream_broken", {{"request", this->hand.asked.id},
@@ -348,10 +364,13 @@
     return next_step::try_again;
 }
 
-void model_forward::release(const prefill_result& read)
+void model_forward::release_prompt()
 {
+    if (!this->has_kept_prompt())
+        return;
+    const prefill_result result = this->read->result;
     asio::co_spawn(this->context.executor,
-                   call_and_forget(this->context.calls, read.address, this->context.dialect.release_call(read)),
+                   call_and_forget(this->context.calls, result.address, this->context.dialect.release_call(result)),
                    asio::detached);
 }
 
--- a/src/forward/model_forward.h
+++ b/src/forward/model_forward.h
@@ -32,6 +32,14 @@
 private:
     enum class next_step { done, try_again };
 
+    /// A read prompt that waits at its engine for the decode engine that fetches it.
+    struct kept_prompt
+    {
+        prefill_result result;
+        std::string zone;
+        time_point until;
+    };
+
     struct reserved_places
     {
         model_places places;
@@ -46,13 +54,13 @@
     std::int64_t tokens_per_event() const;
 
     boost::asio::awaitable<next_step> serve_at(reserved_places& reserved);
-    boost::asio::awaitable<std::optional<prefill_result>> read_prompt(const endpoint& at);
-    boost::asio::awaitable<next_step> decode_at(const endpoint& at, load_guard& place,
-                                                std::optional<prefill_result> read);
+    boost::asio::awaitable<bool> read_prompt(const endpoint& at);
+    bool has_kept_prompt() const;
+    boost::asio::awaitable<next_step> decode_at(const endpoint& at, load_guard& place);
     boost::asio::awaitable<next_step> pass_on(const endpoint& at, load_guard& place, http::body_stream& stream);
     boost::asio::awaitable<next_step> pass_failure_on(const endpoint& at, http::body_stream& stream);
     next_step take_failure(const endpoint& at, const error& reason);
-    void release(const prefill_result& read);
+    void release_prompt();
     bool may_send(int sends_before);
     std::optional<error> reason_to_stop() const;
     boost::asio::awaitable<void> finish(const error& reason);
@@ -62,6 +70,7 @@
     avoided_endpoints avoided;
     event_relay relay;
     request_outcome outcome;
+    std::optional<kept_prompt> read;
     bool is_answer_open = false;
     unsigned runs = 0;
     int prefill_sends = 0;
--- a/src/forward/peer_exchange.h
+++ b/src/forward/peer_exchange.h
@@ -25,8 +25,8 @@
     static constexpr milliseconds pause_per_peer{2};
     /// Shortest pause between reports: some requests' worth of changes go into one datagram.
     static constexpr milliseconds shortest_pause{8};
-    /// A host that has nothing new to tell says so this often.
-    static constexpr milliseconds heartbeat{400};
+    /// How often a host reports when no work began or ended: what streams hold grows meanwhile.
+    static constexpr milliseconds heartbeat{150};
 
     /// `waiting` returns how many requests wait on this host that can still meet their objective.
     peer_exchange(boost::asio::any_io_executor executor, std::string host, fleet_load& load,
