--- a/src/forward/forward_server.cpp
+++ b/src/forward/forward_server.cpp
@@ -118,8 +118,9 @@
                              {"cause", describe(reason)},
                              {"config", std::to_string(this->context.config ? this->context.config->version : 0)}});
     count("radishstep_forward_refused_total", {{"kind", std::string{to_string(reason.kind)}}});
-    const bool may_come_back = reason.kind == error_kind::unavailable;
-    const auto come_back = may_come_back ? std::optional{not_ready_return} : std::nullopt;
+    std::optional<milliseconds> come_back;
+    if (reason.kind == error_kind::unavailable)
+        come_back = not_ready_return;
     http::response refusal = this->context.dialect.refusal(request_id, reason, come_back);
     co_await caller.send(std::move(refusal));
 }
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -44,6 +44,14 @@
 /// Hosts assumed to share the retry budget until the key-value service has told: more than are likely.
 constexpr std::size_t unknown_hosts = 12;
 
+constexpr unsigned ok = 200;
+constexpr unsigned not_ready = 503;
+
+asio::awaitable<void> answer_with(http::reply& reply, http::response answer)
+{
+    co_await reply.send(std::move(answer));
+}
+
 void spawn(asio::io_context& io, asio::awaitable<void> work)
 {
     asio::co_spawn(io, std::move(work), [](const std::exception_ptr& failure) {
@@ -87,20 +95,12 @@
     this->callers = std::make_unique<forward_server>(this->context, std::move(*callers_listener));
     this->readiness = std::make_unique<http::server>(
         std::move(*ready_listener), http::server_limits{},
-        [this](const http::request&, http::reply& reply) -> asio::awaitable<void> {
-            constexpr unsigned ready_status = 200;
-            constexpr unsigned not_ready_status = 503;
-            http::response answer = this->is_ready() ? http::text_response(ready_status, "ready\n")
-                                                     : http::text_response(not_ready_status, "not ready\n");
-            co_await reply.send(std::move(answer));
-        },
+        [this](const http::request&, http::reply& reply) { return answer_with(reply, this->readiness_answer()); },
         refuse);
     this->metrics = std::make_unique<http::server>(
         std::move(*metrics_listener), http::server_limits{},
-        [](const http::request&, http::reply& reply) -> asio::awaitable<void> {
-            constexpr unsigned ok = 200;
-            http::response answer = http::text_response(ok, metrics_text());
-            co_await reply.send(std::move(answer));
+        [](const http::request&, http::reply& reply) {
+            return answer_with(reply, http::text_response(ok, metrics_text()));
         },
         refuse);
     this->callers->start();
@@ -124,6 +124,11 @@
     return this->context.config && this->has_endpoints && !this->is_stopping;
 }
 
+http::response gateway::readiness_answer() const
+{
+    return this->is_ready() ? http::text_response(ok, "ready\n") : http::text_response(not_ready, "not ready\n");
+}
+
 void gateway::watch_store()
 {
     const auto nothing = [] {};
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -44,6 +44,7 @@
 
 private:
     bool is_ready() const;
+    http::response readiness_answer() const;
     void watch_store();
     void take_config(const stored_change& change);
     void take_endpoint(const stored_change& change);
--- a/src/forward/model_forward.cpp
+++ b/src/forward/model_forward.cpp
@@ -127,14 +127,7 @@
         co_await this->hand.watch.pause(look_again_time);
     }
     line.leave(place);
-    log_decision("place", {{"request", this->hand.asked.id},
-                           {"waited_ms", ms_since(start)},
-                           {"prefill", found && found->prefill ? found->prefill->id : "none"},
-                           {"decode", found ? found->decode.id : "none"},
-                           {"prompt_tokens", std::to_string(this->hand.asked.prompt_tokens)},
-                           {"most_output_tokens", std::to_string(this->hand.asked.most_output_tokens)},
-                           {"likely_output_tokens", std::to_string(this->hand.asked.likely_output_tokens)},
-                           {"line", std::to_string(line.size())}});
+    this->log_places(found, start, line.size());
     if (this->hand.watch.is_caller_gone())
         co_return fail(error_kind::caller_gone, "the caller has left", "");
     if (!found && found.error() == no_place::no_endpoint)
@@ -185,6 +178,49 @@
     co_return co_await this->decode_at(reserved.places.decode, *reserved.decoding);
 }
 
+http::request model_forward::decode_call_to(const endpoint& at) const
+{
+    std::optional<prefill_result> source;
+    if (this->read)
+        source = this->read->result;
+    return this->context.dialect.decode_call(this->hand.asked, at, this->hand.watch.left(), source,
+                                             this->relay.last_event());
+}
+
+void model_forward::log_places(const tl::expected<model_places, no_place>& found, time_point start,
+                               std::size_t waiting) const
+{
+    // A place found at once is no news; its calls tell where it was.
+    if (found && runtime_clock::now() - start < look_again_time)
+        return;
+    log_decision("place", {{"request", this->hand.asked.id},
+                           {"waited_ms", ms_since(start)},
+                           {"prefill", found && found->prefill ? found->prefill->id : "none"},
+                           {"decode", found ? found->decode.id : "none"},
+                           {"prompt_tokens", std::to_string(this->hand.asked.prompt_tokens)},
+                           {"others_waiting", std::to_string(waiting)}});
+}
+
+void model_forward::log_call(std::string_view what, const endpoint& at, time_point sent,
+                             const http::response& answer) const
+{
+    constexpr unsigned ok = 200;
+    if (answer.status == ok && !is_sampled(this->hand.asked.id))
+        return;
+    log_decision(what, {{"request", this->hand.asked.id},
+                        {"endpoint", at.id},
+                        {"ms", ms_since(sent)},
+                        {"status", std::to_string(answer.status)}});
+}
+
+void model_forward::log_call(std::string_view what, const endpoint& at, time_point sent, const error& reason) const
+{
+    log_decision(what, {{"request", this->hand.asked.id},
+                        {"endpoint", at.id},
+                        {"ms", ms_since(sent)},
+                        {"cause", describe(reason)}});
+}
+
 bool model_forward::has_kept_prompt() const
 {
     return this->read && runtime_clock::now() < this->read->until;
@@ -216,11 +252,10 @@
     http::request call = this->context.dialect.prefill_call(this->hand.asked, at, this->hand.watch.left());
     auto got = co_await this->context.calls.call(at.address, std::move(call), std::move(options));
     const time_point now = runtime_clock::now();
-    log_decision("prefill_ended", {{"request", this->hand.asked.id},
-                                   {"endpoint", at.id},
-                                   {"ms", ms_since(sent)},
-                                   {"expected_ms", std::to_string(expected.count())},
-                                   {"outcome", got ? std::to_string(got->status) : describe(got.error())}});
+    if (got)
+        this->log_call("prefill_ended", at, sent, *got);
+    else
+        this->log_call("prefill_failed", at, sent, got.error());
     if (this->hand.watch.is_caller_gone())
         co_return false;
     if (!got) {
@@ -255,17 +290,11 @@
     ++this->decode_sends;
     this->outcome.endpoint = at.id;
     this->avoided.insert(at.incarnation());
-    const std::optional<prefill_result> source = this->read ? std::optional{this->read->result} : std::nullopt;
-    http::request call = this->context.dialect.decode_call(this->hand.asked, at, this->hand.watch.left(), source,
-                                                           this->relay.last_event());
+    http::request call = this->decode_call_to(at);
     auto stream = co_await this->context.calls.open(at.address, std::move(call), std::move(options));
-    log_decision("decode_answered", {{"request", this->hand.asked.id},
-                                     {"endpoint", at.id},
-                                     {"ms", ms_since(sent)},
-                                     {"outcome", stream ? std::to_string((*stream)->head().status)
-                                                        : describe(stream.error())}});
     if (!stream)
         co_return this->take_failure(at, stream.error());
+    this->log_call("decode_answered", at, sent, (*stream)->head());
     const time_point now = runtime_clock::now();
     switch (this->context.dialect.judge(this->hand.asked, (*stream)->head())) {
     case answer_kind::not_run:
@@ -321,7 +350,6 @@
             break;
     }
     this->context.health.record(at.incarnation(), call_outcome::answered, runtime_clock::now());
-    log_decision("stream_whole", {{"request", this->hand.asked.id}, {"events", std::to_string(this->relay.events())}, {"last", std::to_string(this->relay.last_event().value_or(-1))}});
     co_await this->hand.caller.finish();
     co_return next_step::done;
 }
--- a/src/forward/model_forward.h
+++ b/src/forward/model_forward.h
@@ -56,6 +56,10 @@
     boost::asio::awaitable<next_step> serve_at(reserved_places& reserved);
     boost::asio::awaitable<bool> read_prompt(const endpoint& at);
     bool has_kept_prompt() const;
+    http::request decode_call_to(const endpoint& at) const;
+    void log_places(const tl::expected<model_places, no_place>& found, time_point start, std::size_t waiting) const;
+    void log_call(std::string_view what, const endpoint& at, time_point sent, const http::response& answer) const;
+    void log_call(std::string_view what, const endpoint& at, time_point sent, const error& reason) const;
     boost::asio::awaitable<next_step> decode_at(const endpoint& at, load_guard& place);
     boost::asio::awaitable<next_step> pass_on(const endpoint& at, load_guard& place, http::body_stream& stream);
     boost::asio::awaitable<next_step> pass_failure_on(const endpoint& at, http::body_stream& stream);
--- a/src/forward/plain_forward.cpp
+++ b/src/forward/plain_forward.cpp
@@ -56,16 +56,26 @@
     const time_point sent = runtime_clock::now();
     http::request call = this->context.dialect.whole_call(this->hand.asked, at, this->hand.watch.left());
     auto got = co_await this->context.calls.call(at.address, std::move(call), std::move(options));
-    const time_point now = runtime_clock::now();
-    log_decision("call_ended", {{"request", this->hand.asked.id},
-                                {"endpoint", at.id},
-                                {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - sent).count())},
-                                {"outcome", got ? std::to_string(got->status) : describe(got.error())}});
+    if (got)
+        this->log_call(at, sent, std::to_string(got->status), got->status >= first_failure_status);
+    else
+        this->log_call(at, sent, describe(got.error()), true);
     if (!got)
         co_return this->take_failure(at, got.error());
     co_return this->take_answer(at, std::move(*got));
 }
 
+void plain_forward::log_call(const endpoint& at, time_point sent, const std::string& ended, bool is_failure) const
+{
+    if (!is_failure && !is_sampled(this->hand.asked.id))
+        return;
+    const auto took = std::chrono::duration_cast<milliseconds>(runtime_clock::now() - sent);
+    log_decision("call_ended", {{"request", this->hand.asked.id},
+                                {"endpoint", at.id},
+                                {"ms", std::to_string(took.count())},
+                                {"ended", ended}});
+}
+
 plain_forward::next_step plain_forward::take_failure(const endpoint& at, const error& reason)
 {
     const time_point now = runtime_clock::now();
--- a/src/forward/plain_forward.h
+++ b/src/forward/plain_forward.h
@@ -45,6 +45,7 @@
     enum class next_step { done, try_again };
 
     boost::asio::awaitable<next_step> send_to(endpoint at);
+    void log_call(const endpoint& at, time_point sent, const std::string& ended, bool is_failure) const;
     next_step take_failure(const endpoint& at, const error& failure);
     next_step take_answer(const endpoint& at, http::response answer);
     std::optional<error> reason_to_stop();
--- a/src/keyvalue/watched_prefix.cpp
+++ b/src/keyvalue/watched_prefix.cpp
@@ -47,12 +47,14 @@
 {
     auto got = co_await this->source.watch(this->prefix, this->revision, watch_time);
     if (!got) {
+        // Changes may have been missed that a new watch would only tell of much later.
+        this->has_read = false;
         co_await this->pause_after_failure(got.error());
         co_return false;
     }
     if (got->is_history_lost) {
-        log_state("history_lost", {{"prefix", this->prefix}, {"revision", std::to_string(this->revision)}});
         this->has_read = false;
+        count("radishstep_keyvalue_history_lost_total", {{"prefix", this->prefix}});
         co_return true;
     }
     this->revision = std::max(this->revision, got->revision);
