--- a/src/forward/forward_server.cpp
+++ b/src/forward/forward_server.cpp
@@ -68,6 +68,7 @@
 void forward_server::stop_accepting()
 {
     this->server.drain();
+    this->server.close_idle();
 }
 
 void forward_server::apply_limits(const caller_limits& limits)
--- a/src/forward/forward_server.h
+++ b/src/forward/forward_server.h
@@ -20,7 +20,7 @@
     /// Answers from now on say that the connection ends, so that callers move to other hosts.
     void send_callers_away();
 
-    /// Stops accepting connections.
+    /// Stops accepting connections and closes those on which nothing happens.
     void stop_accepting();
 
     /// Takes the configuration's bounds for callers.
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -33,8 +33,8 @@
 constexpr milliseconds settings_time{1'000};
 
 /// From the request to stop until new connections are refused: two missed readiness questions, which
-/// come once a second, and a second for connections that are on their way.
-constexpr milliseconds readiness_time{3'000};
+/// come once a second, and some time for connections that are on their way.
+constexpr milliseconds readiness_time{2'700};
 
 /// Part of the grace time that is left for the process to end by itself.
 constexpr milliseconds stop_margin{250};
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include <array>
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -38,6 +39,8 @@
     std::size_t requests = 0;
     bool draining = false;
     bool keeps_connections = true;
+    /// Closes each connection that waits for its next request, by the connection's session.
+    std::map<const void*, std::function<void()>> idle_closers;
 };
 
 namespace {
@@ -209,8 +212,10 @@
         constexpr std::size_t first_read_bytes = 4'096;
         error_code failure;
         this->limit_time(this->state->limits.idle_time);
+        this->state->idle_closers.emplace(this, [this] { this->stream.close(); });
         const std::size_t size = co_await this->stream.async_read_some(
             this->buffer.prepare(first_read_bytes), asio::redirect_error(asio::use_awaitable, failure));
+        this->state->idle_closers.erase(this);
         this->buffer.commit(size);
         co_return this->cause_of(failure);
     }
@@ -371,6 +376,13 @@
     this->state->keeps_connections = false;
 }
 
+void server::close_idle()
+{
+    const auto closers = this->state->idle_closers;
+    for (const auto& [session, close] : closers)
+        close();
+}
+
 void server::set_limits(server_limits limits)
 {
     this->state->limits = limits;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -58,6 +58,9 @@
     /// Connections end after their next answer; new ones are still accepted.
     void stop_keeping();
 
+    /// Closes the connections on which no request is being sent or answered.
+    void close_idle();
+
     /// Takes new limits, in force from the next request of each connection.
     void set_limits(server_limits limits);
 
