Leave places to the requests of other hosts that wait longer

Sends that reached no endpoint were charged against the retry budget; 21 requests ended for it. Change: hosts tell each other the first of each line, and leave as many places as others go before. The budget is given back when a connection could not be made.

--- a/src/forward/endpoint_chooser.cpp
+++ b/src/forward/endpoint_chooser.cpp
@@ -33,6 +33,9 @@
     return (tokens + block_tokens - 1) / block_tokens * block_tokens;
 }
 
+/// What one more running stream costs the others of its engine, in the time to their next tokens.
+constexpr double ms_per_stream = 10;
+
 /// Returns a value in [0, 1) that differs between endpoints and draws.
 double mixed(double draw, std::size_t index)
 {
@@ -76,72 +79,71 @@
 }
 
 tl::expected<model_places, no_place> endpoint_chooser::choose_model(const model_demand& demand,
-                                                                    const avoided_endpoints& avoided, double draw,
-                                                                    time_point now) const
+                                                                    const place_search& search, time_point now) const
 {
-    const auto decoders = this->candidates(demand.service, endpoint_phase::decode, avoided, now);
-    const auto readers = this->candidates(demand.service, endpoint_phase::prefill, avoided, now);
+    const auto decoders = this->candidates(demand.service, endpoint_phase::decode, search.avoided, now);
+    const auto readers = this->candidates(demand.service, endpoint_phase::prefill, search.avoided, now);
     if (decoders.empty())
         return tl::unexpected{no_place::no_endpoint};
-    std::optional<model_places> best;
-    double best_ms = std::numeric_limits<double>::max();
+    std::vector<option> options;
     std::size_t index = 0;
-    const auto weigh = [&](const endpoint* reader, const endpoint& decoder, double ms) {
-        ms += jitter_ms * mixed(draw, index++);
-        if (ms >= best_ms)
-            return;
-        best_ms = ms;
-        best = model_places{reader == nullptr ? std::nullopt : std::optional<endpoint>{*reader}, decoder};
-    };
     for (const endpoint* decoder : decoders) {
-        if (!this->has_room(*decoder, demand, now))
+        const std::size_t room = this->room_at(*decoder, demand, now);
+        if (room == 0)
             continue;
-        const double decode_ms = this->decoding_ms(*decoder, now);
+        const double decode_ms = this->decoding_ms(*decoder, now) + jitter_ms * mixed(search.draw, index++);
         const std::int64_t unread = this->load.at(decoder->incarnation(), now).unread + demand.prompt_tokens;
         const double own_reading = static_cast<double>(unread) / reading_speed * own_reading_factor;
-        weigh(nullptr, *decoder, decode_ms + own_reading + to_ms(own_reading_penalty));
+        option best{decode_ms + own_reading + to_ms(own_reading_penalty), nullptr, decoder};
         for (const endpoint* reader : readers) {
             double ms = decode_ms + to_ms(this->reading_time(*reader, demand.prompt_tokens, now));
+            ms += jitter_ms * mixed(search.draw, index++);
             ms += reader->zone == decoder->zone ? 0 : far_transfer_ms;
             ms += this->health.is_avoided(reader->incarnation(), now) ? avoided_ms : 0;
-            weigh(reader, *decoder, ms);
+            if (ms < best.ms)
+                best = {ms, reader, decoder};
         }
+        for (std::size_t place = 0; place < room; ++place)
+            options.push_back({best.ms + ms_per_stream * static_cast<double>(place), best.reader, decoder});
     }
-    if (!best)
-        return tl::unexpected{no_place::full};
-    return *best;
+    return this->take_option(std::move(options), search.left_to_others);
 }
 
 tl::expected<model_places, no_place> endpoint_chooser::choose_decoder(const model_demand& demand,
                                                                       const std::string& reader_zone,
-                                                                      const avoided_endpoints& avoided, double draw,
-                                                                      time_point now) const
+                                                                      const place_search& search, time_point now) const
 {
-    const auto decoders = this->candidates(demand.service, endpoint_phase::decode, avoided, now);
+    const auto decoders = this->candidates(demand.service, endpoint_phase::decode, search.avoided, now);
     if (decoders.empty())
         return tl::unexpected{no_place::no_endpoint};
-    const endpoint* best = nullptr;
-    double best_ms = std::numeric_limits<double>::max();
+    std::vector<option> options;
     std::size_t index = 0;
     for (const endpoint* decoder : decoders) {
-        if (!this->has_room(*decoder, demand, now))
+        if (this->room_at(*decoder, demand, now) == 0)
             continue;
-        double ms = this->decoding_ms(*decoder, now) + jitter_ms * mixed(draw, index++);
+        double ms = this->decoding_ms(*decoder, now) + jitter_ms * mixed(search.draw, index++);
         ms += decoder->zone == reader_zone ? 0 : far_transfer_ms;
-        if (ms < best_ms) {
-            best_ms = ms;
-            best = decoder;
-        }
+        options.push_back({ms, nullptr, decoder});
     }
-    if (best == nullptr)
+    return this->take_option(std::move(options), search.left_to_others);
+}
+
+tl::expected<model_places, no_place> endpoint_chooser::take_option(std::vector<option> options,
+                                                                   std::size_t left_to_others) const
+{
+    if (options.size() <= left_to_others)
         return tl::unexpected{no_place::full};
-    return model_places{std::nullopt, *best};
+    const auto chosen = options.begin() + static_cast<std::ptrdiff_t>(left_to_others);
+    std::ranges::nth_element(options, chosen, {}, &option::ms);
+    model_places places;
+    if (chosen->reader != nullptr)
+        places.prefill = *chosen->reader;
+    places.decode = *chosen->decoder;
+    return places;
 }
 
 double endpoint_chooser::decoding_ms(const endpoint& at, time_point now) const
 {
-    // What one more running stream costs the others of its engine, in the time to their next tokens.
-    constexpr double ms_per_stream = 10;
     const std::string incarnation = at.incarnation();
     const double ms = ms_per_stream * this->load.at(incarnation, now).calls * this->health.pace(incarnation, now);
     return this->health.is_avoided(incarnation, now) ? ms + avoided_ms : ms;
@@ -165,15 +167,16 @@
     return found;
 }
 
-bool endpoint_chooser::has_room(const endpoint& at, const model_demand& demand, time_point now) const
+std::size_t endpoint_chooser::room_at(const endpoint& at, const model_demand& demand, time_point now) const
 {
     const endpoint_load there = this->load.at(at.incarnation(), now);
-    if (there.calls >= at.slots)
-        return false;
-    if (there.calls == 0)
-        return true;
-    const std::int64_t growth = growth_tokens * (there.calls + 1);
-    return there.tokens + demand.prompt_memory() + growth <= demand.memory_tokens;
+    const std::int64_t free_slots = at.slots - there.calls;
+    const std::int64_t each = demand.prompt_memory() + growth_tokens;
+    const std::int64_t free_tokens = demand.memory_tokens - there.tokens - growth_tokens * there.calls;
+    const std::int64_t room = std::min(free_slots, free_tokens / std::max<std::int64_t>(each, 1));
+    // An idle engine takes any prompt, or says itself that it is too long.
+    const std::int64_t least = there.calls == 0 ? 1 : 0;
+    return static_cast<std::size_t>(std::max(room, least));
 }
 
 } // namespace radishstep::forward
--- a/src/forward/endpoint_chooser.h
+++ b/src/forward/endpoint_chooser.h
@@ -41,6 +41,16 @@
     std::int64_t prompt_memory() const;
 };
 
+/// Bounds of a search for places.
+struct place_search
+{
+    const avoided_endpoints& avoided;
+    /// Uniform in [0, 1).
+    double draw = 0;
+    /// The best places that requests of other hosts will take.
+    std::size_t left_to_others = 0;
+};
+
 /// Why no place was found.
 enum class no_place { no_endpoint, full };
 
@@ -70,13 +80,12 @@
                                          time_point now) const;
 
     /// Returns the engines for a model request, or why there are none.
-    tl::expected<model_places, no_place> choose_model(const model_demand& demand, const avoided_endpoints& avoided,
-                                                      double draw, time_point now) const;
+    tl::expected<model_places, no_place> choose_model(const model_demand& demand, const place_search& search,
+                                                      time_point now) const;
 
     /// Returns the decode engine for a prompt that an engine in `reader_zone` has read, or why there is none.
     tl::expected<model_places, no_place> choose_decoder(const model_demand& demand, const std::string& reader_zone,
-                                                        const avoided_endpoints& avoided, double draw,
-                                                        time_point now) const;
+                                                        const place_search& search, time_point now) const;
 
     /// Returns how long the prompt would wait and be read at a prefill engine.
     milliseconds reading_time(const endpoint& at, std::int64_t prompt_tokens, time_point now) const;
@@ -85,7 +94,16 @@
     std::vector<const endpoint*> candidates(const std::string& service, endpoint_phase phase,
                                             const avoided_endpoints& avoided, time_point now) const;
     double decoding_ms(const endpoint& at, time_point now) const;
-    bool has_room(const endpoint& at, const model_demand& demand, time_point now) const;
+    std::size_t room_at(const endpoint& at, const model_demand& demand, time_point now) const;
+
+    struct option
+    {
+        double ms = 0;
+        const endpoint* reader = nullptr;
+        const endpoint* decoder = nullptr;
+    };
+
+    tl::expected<model_places, no_place> take_option(std::vector<option> options, std::size_t left_to_others) const;
 
     const endpoint_directory& directory;
     const fleet_load& load;
--- a/src/forward/fleet_load.cpp
+++ b/src/forward/fleet_load.cpp
@@ -1,5 +1,6 @@
 #include "forward/fleet_load.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace radishstep::forward {
@@ -39,17 +40,21 @@
         found->second.tokens += tokens;
 }
 
-void fleet_load::take_peer(const std::string& host, load_table loads, int waiting, time_point now)
+void fleet_load::take_peer(const std::string& host, load_table loads, std::vector<waiting_head> heads, time_point now)
 {
-    this->peers.insert_or_assign(host, peer_word{std::move(loads), waiting, now});
+    this->peers.insert_or_assign(host, peer_word{std::move(loads), std::move(heads), now});
 }
 
-int fleet_load::waiting_elsewhere(time_point now) const
+std::size_t fleet_load::heads_before(const waiting_head& own, time_point now) const
 {
-    int sum = 0;
+    std::size_t sum = 0;
     for (const auto& [host, word] : this->peers) {
-        if (word.heard + peer_memory > now)
-            sum += word.waiting;
+        if (word.heard + peer_memory < now)
+            continue;
+        sum += static_cast<std::size_t>(std::ranges::count_if(word.heads, [&own](const waiting_head& other) {
+            const bool goes_first = other.is_late != own.is_late ? own.is_late : other.since < own.since;
+            return other.service == own.service && goes_first;
+        }));
     }
     return sum;
 }
--- a/src/forward/fleet_load.h
+++ b/src/forward/fleet_load.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/runtime_clock.h"
 
@@ -26,6 +27,17 @@
 /// What runs at each endpoint, by endpoint incarnation.
 using load_table = std::map<std::string, endpoint_load>;
 
+/// The first request in a host's line for a service.
+struct waiting_head
+{
+    std::string service;
+    /// It can no longer meet its objective.
+    bool is_late = false;
+    time_point since;
+
+    bool operator==(const waiting_head&) const = default;
+};
+
 /// The work of all hosts at the endpoints: this host's exactly, the others' as they last told.
 class fleet_load
 {
@@ -42,12 +54,13 @@
     /// Counts that work in progress takes more memory now.
     void grow(const std::string& incarnation, std::int64_t tokens);
 
-    /// Takes another host's table, and how many requests wait there that can still meet their objective;
-    /// older words of the same host are replaced.
-    void take_peer(const std::string& host, load_table loads, int waiting, time_point now);
+    /// Takes another host's table and the first request of each of its lines; older words of the same
+    /// host are replaced.
+    void take_peer(const std::string& host, load_table loads, std::vector<waiting_head> heads, time_point now);
 
-    /// Returns how many requests wait at other hosts that can still meet their objective.
-    int waiting_elsewhere(time_point now) const;
+    /// Returns how many hosts have a request in line for the same service that goes before `own`. Hosts
+    /// leave as many places to them, so that no two take the same one.
+    std::size_t heads_before(const waiting_head& own, time_point now) const;
 
     /// Returns the work of all hosts at an endpoint.
     endpoint_load at(const std::string& incarnation, time_point now) const;
@@ -59,7 +72,7 @@
     struct peer_word
     {
         load_table loads;
-        int waiting = 0;
+        std::vector<waiting_head> heads;
         time_point heard;
     };
 
--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -16,20 +16,27 @@
     return std::uniform_real_distribution<double>{0, 1}(this->random);
 }
 
-int forward_context::waiting_on_time() const
+void forward_context::note_change() const
 {
-    std::size_t sum = 0;
-    for (const auto& [service, line] : this->lines)
-        sum += line.on_time();
-    return static_cast<int>(sum);
+    if (this->on_load_change)
+        this->on_load_change();
+}
+
+std::vector<waiting_head> forward_context::waiting_heads() const
+{
+    std::vector<waiting_head> heads;
+    for (const auto& [service, line] : this->lines) {
+        if (const auto first = line.first())
+            heads.push_back({service, first->is_late, first->since});
+    }
+    return heads;
 }
 
 load_guard::load_guard(forward_context& context, std::string incarnation, endpoint_load work)
     : context(context), incarnation(std::move(incarnation)), work(work)
 {
     this->context.load.begin(this->incarnation, this->work);
-    if (this->context.on_load_change)
-        this->context.on_load_change();
+    this->context.note_change();
 }
 
 load_guard::~load_guard()
@@ -48,8 +55,7 @@
     if (std::exchange(this->ended, true))
         return;
     this->context.load.end(this->incarnation, this->work);
-    if (this->context.on_load_change)
-        this->context.on_load_change();
+    this->context.note_change();
 }
 
 } // namespace radishstep::forward
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -34,12 +34,15 @@
     /// Requests that wait for a place, by service.
     std::map<std::string, waiting_line> lines;
     config_ptr config;
-    /// Runs when work began or ended at an endpoint.
+    /// Runs when work began or ended at an endpoint, or a request began or ended to wait.
     std::function<void()> on_load_change;
     std::mt19937_64 random;
 
-    /// Returns how many requests wait here that can still meet their objective.
-    int waiting_on_time() const;
+    /// Runs the hook for changes.
+    void note_change() const;
+
+    /// Returns the first request of each line.
+    std::vector<waiting_head> waiting_heads() const;
 
     /// Returns a uniform draw from [0, 1).
     double draw();
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -67,7 +67,7 @@
     : io(io), settings(std::move(settings)), store(store), documents(std::move(documents)),
       context(io.get_executor(), dialect, this->settings.zone),
       peers(io.get_executor(), this->settings.host, this->context.load,
-            [this] { return this->context.waiting_on_time(); }),
+            [this] { return this->context.waiting_heads(); }),
       signals(io, SIGTERM, SIGINT, SIGHUP)
 {
     this->context.budget.configure(this->settings.retries, unknown_hosts);
--- a/src/forward/model_forward.cpp
+++ b/src/forward/model_forward.cpp
@@ -108,7 +108,8 @@
 asio::awaitable<tl::expected<model_forward::reserved_places, error>> model_forward::reserve()
 {
     waiting_line& line = this->context.lines[this->hand.service];
-    waiting_line::ticket place = line.join(this->hand.way.priority);
+    waiting_line::ticket place = line.join(this->hand.way.priority, runtime_clock::now());
+    this->context.note_change();
     const time_point start = runtime_clock::now();
     const time_point late_from = this->hand.arrived + this->hand.way.objective - serving_time;
     const milliseconds longest_wait{
@@ -127,6 +128,7 @@
         co_await this->hand.watch.pause(look_again_time);
     }
     line.leave(place);
+    this->context.note_change();
     this->log_places(found, start, line.size());
     if (this->hand.watch.is_caller_gone())
         co_return fail(error_kind::caller_gone, "the caller has left", "");
@@ -142,14 +144,14 @@
                                                                     const waiting_line::ticket& place)
 {
     const time_point now = runtime_clock::now();
-    const bool others_first = place.is_late && this->context.load.waiting_elsewhere(now) > 0;
-    if (others_first || !line.is_first(place))
+    if (!line.is_first(place))
         return tl::unexpected{no_place::full};
+    const waiting_head own{this->hand.service, place.is_late, place.since};
+    const place_search search{this->avoided, this->context.draw(), this->context.load.heads_before(own, now)};
     if (this->has_kept_prompt())
-        return this->context.chooser.choose_decoder(this->demand(), this->read->zone, this->avoided,
-                                                    this->context.draw(), now);
+        return this->context.chooser.choose_decoder(this->demand(), this->read->zone, search, now);
     this->read.reset();
-    return this->context.chooser.choose_model(this->demand(), this->avoided, this->context.draw(), now);
+    return this->context.chooser.choose_model(this->demand(), search, now);
 }
 
 std::int64_t model_forward::tokens_per_event() const
@@ -162,7 +164,7 @@
 {
     if (reserved.places.prefill) {
         const endpoint reader = *reserved.places.prefill;
-        if (!this->may_send(this->prefill_sends))
+        if (!this->may_send(this->prefill_arrivals))
             co_return next_step::done;
         const bool is_read = co_await this->read_prompt(reader);
         reserved.reading->end();
@@ -173,11 +175,19 @@
     }
     if (this->hand.watch.is_caller_gone())
         co_return next_step::try_again;
-    if (!this->may_send(this->decode_sends))
+    if (!this->may_send(this->decode_arrivals))
         co_return next_step::done;
     co_return co_await this->decode_at(reserved.places.decode, *reserved.decoding);
 }
 
+void model_forward::note_arrival(int& arrivals, bool has_arrived)
+{
+    if (has_arrived)
+        ++arrivals;
+    else if (arrivals > 0)
+        this->context.budget.give_back(this->hand.service);
+}
+
 http::request model_forward::decode_call_to(const endpoint& at) const
 {
     std::optional<prefill_result> source;
@@ -207,10 +217,13 @@
     constexpr unsigned ok = 200;
     if (answer.status == ok && !is_sampled(this->hand.asked.id))
         return;
+    const endpoint_load believed = this->context.load.at(at.incarnation(), runtime_clock::now());
     log_decision(what, {{"request", this->hand.asked.id},
                         {"endpoint", at.id},
                         {"ms", ms_since(sent)},
-                        {"status", std::to_string(answer.status)}});
+                        {"status", std::to_string(answer.status)},
+                        {"believed_calls", std::to_string(believed.calls)},
+                        {"believed_tokens", std::to_string(believed.tokens)}});
 }
 
 void model_forward::log_call(std::string_view what, const endpoint& at, time_point sent, const error& reason) const
@@ -226,9 +239,9 @@
     return this->read && runtime_clock::now() < this->read->until;
 }
 
-bool model_forward::may_send(int sends_before)
+bool model_forward::may_send(int arrivals_before)
 {
-    if (sends_before == 0 || this->context.budget.take(this->hand.service, runtime_clock::now()))
+    if (arrivals_before == 0 || this->context.budget.take(this->hand.service, runtime_clock::now()))
         return true;
     this->refused = error{error_kind::overloaded, "the retry budget is spent", "come back after the given time"};
     return false;
@@ -256,6 +269,7 @@
         this->log_call("prefill_ended", at, sent, *got);
     else
         this->log_call("prefill_failed", at, sent, got.error());
+    this->note_arrival(this->prefill_arrivals, got.has_value() || got.error().kind != error_kind::not_sent);
     if (this->hand.watch.is_caller_gone())
         co_return false;
     if (!got) {
@@ -292,6 +306,7 @@
     this->avoided.insert(at.incarnation());
     http::request call = this->decode_call_to(at);
     auto stream = co_await this->context.calls.open(at.address, std::move(call), std::move(options));
+    this->note_arrival(this->decode_arrivals, stream.has_value() || stream.error().kind != error_kind::not_sent);
     if (!stream)
         co_return this->take_failure(at, stream.error());
     this->log_call("decode_answered", at, sent, (*stream)->head());
--- a/src/forward/model_forward.h
+++ b/src/forward/model_forward.h
@@ -65,7 +65,8 @@
     boost::asio::awaitable<next_step> pass_failure_on(const endpoint& at, http::body_stream& stream);
     next_step take_failure(const endpoint& at, const error& reason);
     void release_prompt();
-    bool may_send(int sends_before);
+    bool may_send(int arrivals_before);
+    void note_arrival(int& arrivals, bool has_arrived);
     std::optional<error> reason_to_stop() const;
     boost::asio::awaitable<void> finish(const error& reason);
 
@@ -79,6 +80,9 @@
     unsigned runs = 0;
     int prefill_sends = 0;
     int decode_sends = 0;
+    /// Sends that reached an engine, or may have.
+    int prefill_arrivals = 0;
+    int decode_arrivals = 0;
     std::optional<error> refused;
 };
 
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -32,12 +32,21 @@
     return row;
 }
 
+wire::WaitingHead to_wire(const waiting_head& head)
+{
+    wire::WaitingHead row;
+    row.service_name = head.service;
+    row.is_late = head.is_late;
+    row.age_ms = static_cast<std::int32_t>(to_ms(runtime_clock::now() - head.since));
+    return row;
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(asio::any_io_executor executor, std::string host, fleet_load& load,
-                             std::function<int()> waiting)
+                             std::function<std::vector<waiting_head>()> heads)
     // The time of day makes the sequence grow over restarts; within a process only its order counts.
-    : socket(std::move(executor)), host(std::move(host)), load(load), waiting(std::move(waiting)),
+    : socket(std::move(executor)), host(std::move(host)), load(load), heads(std::move(heads)),
       sequence(wall_clock_ms())
 {
 }
@@ -116,7 +125,8 @@
     wire::LoadReport report;
     report.host = this->host;
     report.sequence = ++this->sequence;
-    report.waiting = this->waiting();
+    for (const waiting_head& head : this->heads())
+        report.heads.push_back(to_wire(head));
     for (const auto& [incarnation, work] : this->load.own())
         report.loads.push_back(to_wire(incarnation, work));
     return wire::encode(report);
@@ -138,7 +148,11 @@
     load_table loads;
     for (const wire::EndpointLoad& row : report->loads)
         loads.insert_or_assign(row.endpoint, endpoint_load{row.calls, row.tokens, row.unread});
-    this->load.take_peer(report->host, std::move(loads), report->waiting, runtime_clock::now());
+    const time_point now = runtime_clock::now();
+    std::vector<waiting_head> others;
+    for (const wire::WaitingHead& head : report->heads)
+        others.push_back({head.service_name, head.is_late, now - milliseconds{head.age_ms}});
+    this->load.take_peer(report->host, std::move(loads), std::move(others), now);
 }
 
 } // namespace radishstep::forward
--- a/src/forward/peer_exchange.h
+++ b/src/forward/peer_exchange.h
@@ -28,9 +28,9 @@
     /// How often a host reports when no work began or ended: what streams hold grows meanwhile.
     static constexpr milliseconds heartbeat{150};
 
-    /// `waiting` returns how many requests wait on this host that can still meet their objective.
+    /// `heads` returns the first request of each line of this host.
     peer_exchange(boost::asio::any_io_executor executor, std::string host, fleet_load& load,
-                  std::function<int()> waiting);
+                  std::function<std::vector<waiting_head>()> heads);
 
     /// Binds the socket, or returns what is wrong with the address.
     result<void> open(const std::string& address);
@@ -54,7 +54,7 @@
     boost::asio::ip::udp::socket socket;
     std::string host;
     fleet_load& load;
-    std::function<int()> waiting;
+    std::function<std::vector<waiting_head>()> heads;
     std::map<std::string, boost::asio::ip::udp::endpoint> peers;
     std::map<std::string, std::int64_t> newest;
     std::int64_t sequence;
--- a/src/forward/plain_forward.cpp
+++ b/src/forward/plain_forward.cpp
@@ -24,7 +24,7 @@
                                   "come back after the given time"};
             break;
         }
-        if (this->outcome.sends > 0 && !this->context.budget.take(this->hand.service, now)) {
+        if (this->arrivals > 0 && !this->context.budget.take(this->hand.service, now)) {
             this->failure = error{error_kind::overloaded, "the retry budget is spent", "come back after the given time"};
             break;
         }
@@ -80,8 +80,12 @@
 {
     const time_point now = runtime_clock::now();
     const bool was_sent = reason.kind != error_kind::not_sent;
-    if (was_sent)
+    if (!was_sent && this->arrivals > 0)
+        this->context.budget.give_back(this->hand.service);
+    if (was_sent) {
+        ++this->arrivals;
         ++this->runs;
+    }
     if (this->hand.watch.is_caller_gone())
         return next_step::done;
     this->context.health.record(at.incarnation(), was_sent ? call_outcome::lost : call_outcome::unreachable, now);
@@ -92,6 +96,7 @@
 {
     const time_point now = runtime_clock::now();
     const std::string incarnation = at.incarnation();
+    ++this->arrivals;
     switch (this->context.dialect.judge(this->hand.asked, got)) {
     case answer_kind::not_run:
         this->context.health.record(incarnation, call_outcome::rejected, now);
--- a/src/forward/plain_forward.h
+++ b/src/forward/plain_forward.h
@@ -59,6 +59,8 @@
     request_outcome outcome;
     /// Endpoints on which the request ran or may have run.
     unsigned runs = 0;
+    /// Sends that reached an endpoint, or may have.
+    int arrivals = 0;
     std::optional<error> failure;
 };
 
--- a/src/forward/retry_budget.cpp
+++ b/src/forward/retry_budget.cpp
@@ -23,6 +23,13 @@
     return true;
 }
 
+void retry_budget::give_back(const std::string& service)
+{
+    account& spent = this->accounts[service];
+    if (!spent.extras.empty())
+        spent.extras.pop_back();
+}
+
 double retry_budget::left(const std::string& service, time_point now)
 {
     const account& spent = this->recent(service, now);
--- a/src/forward/retry_budget.h
+++ b/src/forward/retry_budget.h
@@ -38,6 +38,9 @@
     /// Returns whether one more extra call may be sent, and counts it if so.
     bool take(const std::string& service, time_point now);
 
+    /// Takes back the last extra call, which did not reach an endpoint.
+    void give_back(const std::string& service);
+
     /// Returns the extra calls that are left.
     double left(const std::string& service, time_point now);
 
--- a/src/forward/waiting_line.cpp
+++ b/src/forward/waiting_line.cpp
@@ -1,18 +1,16 @@
 #include "forward/waiting_line.h"
 
-#include <algorithm>
-
 namespace radishstep::forward {
 
-waiting_line::ticket waiting_line::join(int priority)
+waiting_line::ticket waiting_line::join(int priority, time_point now)
 {
-    return *this->tickets.insert(ticket{false, priority, this->next++}).first;
+    return *this->tickets.insert(ticket{false, priority, now, this->next++}).first;
 }
 
 waiting_line::ticket waiting_line::fall_back(const ticket& place)
 {
     this->tickets.erase(place);
-    return *this->tickets.insert(ticket{true, place.priority, place.number}).first;
+    return *this->tickets.insert(ticket{true, place.priority, place.since, place.number}).first;
 }
 
 void waiting_line::leave(const ticket& place)
@@ -20,10 +18,11 @@
     this->tickets.erase(place);
 }
 
-std::size_t waiting_line::on_time() const
+std::optional<waiting_line::ticket> waiting_line::first() const
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(this->tickets, [](const ticket& place) { return !place.is_late; }));
+    if (this->tickets.empty())
+        return std::nullopt;
+    return *this->tickets.begin();
 }
 
 bool waiting_line::is_first(const ticket& place) const
--- a/src/forward/waiting_line.h
+++ b/src/forward/waiting_line.h
@@ -2,10 +2,13 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
 
+#include "base/runtime_clock.h"
+
 namespace radishstep::forward {
 
 /// The order in which requests of one service get places. Those that can still be answered within
@@ -19,13 +22,14 @@
     {
         bool is_late = false;
         int priority = 0;
+        time_point since;
         std::uint64_t number = 0;
 
         auto operator<=>(const ticket&) const = default;
     };
 
     /// Joins the line; priority 0 is the most urgent.
-    ticket join(int priority);
+    ticket join(int priority, time_point now);
 
     /// Puts a request that can no longer meet its objective behind those that can.
     ticket fall_back(const ticket& place);
@@ -39,8 +43,8 @@
     /// Returns how many requests wait.
     std::size_t size() const { return this->tickets.size(); }
 
-    /// Returns how many requests wait that can still meet their objective.
-    std::size_t on_time() const;
+    /// Returns who is first, if anybody waits.
+    std::optional<ticket> first() const;
 
 private:
     std::set<ticket> tickets;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -348,7 +348,7 @@
 
 server::server(asio::ip::tcp::acceptor listener, server_limits limits, request_handler handler, refusal_writer refuse)
     : state(std::make_shared<shared_state>(
-          shared_state{std::move(listener), limits, std::move(handler), std::move(refuse)}))
+          shared_state{std::move(listener), limits, std::move(handler), std::move(refuse), 0, 0, false, true, {}}))
 {
 }
 
--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -159,12 +159,18 @@
   4: i64 unread
 }
 
+// The first request in a host's line for a service.
+struct WaitingHead {
+  1: string service_name
+  2: bool is_late
+  3: i32 age_ms
+}
+
 // What a host's requests do at the endpoints.
 struct LoadReport {
   1: string host
   // Grows with each report of the host, also over its restarts.
   2: i64 sequence
   3: list<EndpointLoad> loads
-  // Requests that wait there and can still meet their objective.
-  4: i32 waiting
+  4: list<WaitingHead> heads
 }
