Test the gateway as a process against stand-ins of the platform

One failed first: calls bore two Host headers, the endpoint's address and the caller's; only the caller's is sent now.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -53,7 +53,8 @@
     message.version(11);
     message.method_string(asked.method);
     message.target(asked.target);
-    message.set(beast::http::field::host, address);
+    if (find_header(asked.lines, "Host").empty())
+        message.set(beast::http::field::host, address);
     for (const header& line : asked.lines)
         message.insert(line.name, line.value);
     message.body() = std::move(asked.body);
--- /dev/null
+++ b/tests/platform/platform_site.cpp
@@ -0,0 +1,219 @@
+#include "platform_site.h"
+
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+
+#include "http/server.h"
+
+namespace radishstep::testing {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using nlohmann::json;
+
+namespace {
+
+std::string free_address()
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor listener{io, {asio::ip::make_address("127.0.0.1"), 0}};
+    return "127.0.0.1:" + std::to_string(listener.local_endpoint().port());
+}
+
+asio::awaitable<site_answer> call_gateway(std::string address, site_request wish)
+{
+    constexpr std::chrono::seconds longest_call{20};
+    site_answer got;
+    beast::tcp_stream stream{co_await asio::this_coro::executor};
+    boost::system::error_code failure;
+    stream.expires_after(longest_call);
+    const auto endpoint = http::parse_address(address);
+    co_await stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+        co_return got;
+    beast::http::request<beast::http::string_body> asked;
+    asked.version(11);
+    asked.method_string(wish.method);
+    asked.target(wish.path);
+    asked.set("Host", "site.example");
+    asked.set("Attempt-Id", wish.id);
+    asked.set("Deadline-Ms", std::to_string(wish.deadline_ms));
+    for (const http::header& line : wish.more)
+        asked.set(line.name, line.value);
+    asked.body() = wish.body;
+    asked.prepare_payload();
+    co_await beast::http::async_write(stream, asked, asio::redirect_error(asio::use_awaitable, failure));
+    if (wish.leave_after > milliseconds{0}) {
+        asio::steady_timer pause{co_await asio::this_coro::executor, wish.leave_after};
+        co_await pause.async_wait(asio::use_awaitable);
+        stream.close();
+        co_return got;
+    }
+    beast::flat_buffer buffer;
+    beast::http::response_parser<beast::http::string_body> parser;
+    co_await beast::http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+    got.is_whole = !failure;
+    got.status = parser.get().result_int();
+    for (const auto& field : parser.get())
+        got.lines.push_back({std::string{field.name_string()}, std::string{field.value()}});
+    got.body = parser.get().body();
+    co_return got;
+}
+
+json route(const std::string& prefix, const std::string& type, const std::string& service, int attempts)
+{
+    return {{"name", "route" + prefix},    {"host", "site.example"},     {"prefix", prefix},
+            {"type", type},                {"timeout_ms", 3'000},        {"target_latency_ms", 900},
+            {"priority", 1},               {"service", service},         {"max_attempts", attempts},
+            {"sticky", type == "streaming"}, {"resumable", prefix == "/resume/"}};
+}
+
+} // namespace
+
+bool wait_until(const std::function<bool()>& holds, milliseconds span)
+{
+    const auto until = std::chrono::steady_clock::now() + span;
+    while (std::chrono::steady_clock::now() < until) {
+        if (holds())
+            return true;
+        std::this_thread::sleep_for(milliseconds{5});
+    }
+    return holds();
+}
+
+platform_site::platform_site(int plain, int readers, int decoders)
+    : callers_address(free_address()), ready_address(free_address()), work(asio::make_work_guard(this->io))
+{
+    this->folder = std::filesystem::temp_directory_path() / ("radishstep-site-" + std::to_string(::getpid()) + "-" +
+                                                             this->callers_address.substr(10));
+    std::filesystem::create_directories(this->folder);
+    const auto executor = this->io.get_executor();
+    this->store = std::make_unique<standin_store>(executor);
+    const auto add = [&](const std::string& letter, int count, const std::string& service, const std::string& phase) {
+        for (int i = 0; i < count; ++i) {
+            const std::string id = letter + std::to_string(i);
+            this->engines.emplace_back(id, std::make_unique<standin_engine>(executor, id, service, phase));
+        }
+    };
+    add("p", plain, "app", "");
+    add("r", readers, "llm", "prefill");
+    add("d", decoders, "llm", "decode");
+    this->thread = std::thread{[this] { this->io.run(); }};
+    this->write_settings();
+    this->write_config(1);
+    this->announce_engines();
+}
+
+platform_site::~platform_site()
+{
+    this->gateway.reset();
+    this->io.stop();
+    this->thread.join();
+    std::filesystem::remove_all(this->folder);
+}
+
+void platform_site::write_settings()
+{
+    const std::string peers = free_address();
+    const int peer_port = std::stoi(peers.substr(peers.rfind(':') + 1));
+    const json settings{
+        {"node_name", "host-1"},
+        {"zone", "a"},
+        {"ip", "127.0.0.1"},
+        {"listen", {{"front", this->callers_address}, {"ready", this->ready_address}}},
+        {"internal_ports", {peer_port, peer_port}},
+        {"platform", {{"address", this->store->address()}, {"ttl_min_ms", 1'000}}},
+        {"bounds",
+         {{"retry_budget_ratio", 0.2}, {"budget_window_s", 10}, {"retry_budget_slack", 20}, {"grace_s", 8}}}};
+    std::ofstream{this->folder + "/node.json"} << settings.dump();
+}
+
+void platform_site::start_gateway()
+{
+    this->gateway.emplace("radishstep-gateway", std::vector<std::string>{"--settings=" + this->folder + "/node.json"},
+                          this->folder + "/gateway.log");
+}
+
+bool platform_site::is_ready()
+{
+    constexpr unsigned ok = 200;
+    site_request question;
+    question.method = "GET";
+    question.path = "/readyz";
+    question.body.clear();
+    return this->calls.wait(call_gateway(this->ready_address, question)).status == ok;
+}
+
+bool platform_site::wait_ready(milliseconds span)
+{
+    return wait_until([this] { return this->is_ready(); }, span);
+}
+
+void platform_site::write_config(int version, const std::string& extra_prefix)
+{
+    json routes = json::array();
+    routes.push_back(route("/plain/", "safe", "app", 2));
+    routes.push_back(route("/once/", "unsafe", "app", 1));
+    routes.push_back(route("/stream/", "streaming", "llm", 1));
+    routes.push_back(route("/resume/", "streaming", "llm", 2));
+    if (!extra_prefix.empty())
+        routes.push_back(route(extra_prefix, "safe", "app", 2));
+    const json config{
+        {"version", version},
+        {"routes", routes},
+        {"services",
+         {{{"name", "app"}},
+          {{"name", "llm"}, {"engine", {{"kv_capacity", 20'000}, {"stride", 13}, {"handle_ttl_s", 0.5}}}}}},
+        {"limits",
+         {{"max_header_bytes", 8'192},
+          {"max_body_bytes", 100'000},
+          {"header_timeout_ms", 1'000},
+          {"idle_timeout_ms", 15'000}}}};
+    this->store->put("op/config", config.dump());
+}
+
+void platform_site::announce_engines()
+{
+    for (const auto& [id, engine] : this->engines)
+        this->store->put(engine->key(), engine->entry());
+}
+
+site_answer platform_site::call(const site_request& wish)
+{
+    return this->calls.wait(call_gateway(this->callers_address, wish));
+}
+
+std::string platform_site::log() const
+{
+    std::ifstream file{this->folder + "/gateway.log"};
+    return {std::istreambuf_iterator<char>{file}, {}};
+}
+
+standin_engine& platform_site::engine(const std::string& id)
+{
+    for (const auto& [name, engine] : this->engines) {
+        if (name == id)
+            return *engine;
+    }
+    throw std::invalid_argument{"no engine " + id};
+}
+
+} // namespace radishstep::testing
--- /dev/null
+++ b/tests/platform/raw_server.cpp
@@ -0,0 +1,111 @@
+#include "raw_server.h"
+
+#include <array>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "http/server.h"
+
+namespace radishstep::testing {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+
+asio::awaitable<bool> raw_connection::write(std::string bytes)
+{
+    error_code failure;
+    co_await asio::async_write(this->socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, failure));
+    co_return !failure;
+}
+
+void raw_connection::reset()
+{
+    error_code ignored;
+    this->socket.set_option(asio::socket_base::linger{true, 0}, ignored);
+    this->socket.close(ignored);
+}
+
+void raw_connection::close()
+{
+    error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    this->socket.close(ignored);
+}
+
+bool raw_connection::is_closed_by_peer()
+{
+    std::array<char, 1> next{};
+    error_code failure;
+    this->socket.non_blocking(true, failure);
+    const std::size_t size = this->socket.receive(asio::buffer(next), asio::socket_base::message_peek, failure);
+    return failure != asio::error::would_block && (failure || size == 0);
+}
+
+raw_server::raw_server(const asio::any_io_executor& executor, const std::string& address, raw_handler handler)
+    : listener(std::move(*http::listen(executor, address))), handler(std::move(handler))
+{
+    asio::co_spawn(
+        executor, [this] { return this->accept(); }, asio::detached);
+}
+
+std::string raw_server::address() const
+{
+    return "127.0.0.1:" + std::to_string(this->listener.local_endpoint().port());
+}
+
+void raw_server::stop()
+{
+    error_code ignored;
+    this->listener.close(ignored);
+}
+
+asio::awaitable<void> raw_server::accept()
+{
+    while (true) {
+        error_code failure;
+        auto socket = co_await this->listener.async_accept(asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            co_return;
+        const auto caller = std::make_shared<raw_connection>(std::move(socket));
+        asio::co_spawn(this->listener.get_executor(), serve(caller, this->handler), asio::detached);
+    }
+}
+
+asio::awaitable<void> raw_server::serve(std::shared_ptr<raw_connection> caller, raw_handler handler)
+{
+    beast::flat_buffer buffer;
+    bool stays_open = true;
+    while (stays_open) {
+        beast::http::request<beast::http::string_body> read;
+        error_code failure;
+        co_await beast::http::async_read(caller->socket, buffer, read,
+                                         asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            co_return;
+        http::request asked;
+        asked.method = std::string{read.method_string()};
+        asked.target = std::string{read.target()};
+        for (const auto& field : read)
+            asked.lines.push_back({std::string{field.name_string()}, std::string{field.value()}});
+        asked.body = std::move(read.body());
+        stays_open = co_await handler(asked, *caller);
+    }
+}
+
+std::string http_answer(unsigned status, const http::headers& lines, const std::string& body)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " Stand-in\r\n";
+    for (const http::header& line : lines)
+        text += line.name + ": " + line.value + "\r\n";
+    return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace radishstep::testing
--- /dev/null
+++ b/tests/platform/standin_store.cpp
@@ -0,0 +1,256 @@
+#include "standin_store.h"
+
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/pause.h"
+#include "base/text.h"
+
+namespace radishstep::testing {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+http::response json_of(unsigned status, const json& body)
+{
+    return http::json_response(status, body.dump());
+}
+
+std::string decoded(std::string_view text)
+{
+    constexpr int hex = 16;
+    std::string result;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            result += static_cast<char>(std::stoi(std::string{text.substr(i + 1, 2)}, nullptr, hex));
+            i += 2;
+        } else {
+            result += text[i];
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+standin_store::standin_store(const asio::any_io_executor& executor)
+    : server(executor, "127.0.0.1:0",
+             [this](const http::request& asked, raw_connection& caller) { return this->answer(asked, caller); })
+{
+}
+
+void standin_store::put(const std::string& key, const std::string& value)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->write(key, value, 0);
+}
+
+void standin_store::remove(const std::string& key)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->write(key, std::nullopt, 0);
+}
+
+void standin_store::end_leases()
+{
+    const std::scoped_lock lock{this->mutex};
+    std::vector<std::string> leased;
+    for (const auto& [key, entry] : this->items) {
+        if (entry.lease != 0)
+            leased.push_back(key);
+    }
+    this->leases.clear();
+    for (const std::string& key : leased)
+        this->write(key, std::nullopt, 0);
+}
+
+void standin_store::compact()
+{
+    const std::scoped_lock lock{this->mutex};
+    this->compacted = this->revision;
+    this->history.clear();
+}
+
+void standin_store::set_fault(store_fault next)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->fault = next;
+}
+
+std::vector<std::string> standin_store::keys(const std::string& prefix) const
+{
+    const std::scoped_lock lock{this->mutex};
+    std::vector<std::string> found;
+    for (const auto& [key, entry] : this->items) {
+        if (key.starts_with(prefix))
+            found.push_back(key);
+    }
+    return found;
+}
+
+int standin_store::calls() const
+{
+    const std::scoped_lock lock{this->mutex};
+    return this->call_count;
+}
+
+void standin_store::write(const std::string& key, std::optional<std::string> value, std::int64_t lease)
+{
+    ++this->revision;
+    if (!value) {
+        this->items.erase(key);
+        this->history.push_back({key, std::nullopt, this->revision});
+        return;
+    }
+    item& entry = this->items[key];
+    entry.created = entry.created == 0 ? this->revision : entry.created;
+    entry.value = *value;
+    entry.revision = this->revision;
+    entry.lease = lease;
+    this->history.push_back({key, entry, this->revision});
+}
+
+asio::awaitable<bool> standin_store::answer(const http::request& asked, raw_connection& caller)
+{
+    store_fault now = store_fault::none;
+    {
+        const std::scoped_lock lock{this->mutex};
+        ++this->call_count;
+        now = this->fault;
+    }
+    if (now == store_fault::reset) {
+        caller.reset();
+        co_return false;
+    }
+    while (now == store_fault::silent) {
+        co_await pause_for(milliseconds{20});
+        if (caller.is_closed_by_peer())
+            co_return false;
+    }
+    constexpr unsigned busy_status = 503;
+    http::response got = http::text_response(busy_status, "");
+    const std::string_view path = asked.path();
+    if (now != store_fault::busy) {
+        if (path == "/kv-watch")
+            got = co_await this->watch(asked);
+        else if (path == "/kv-range")
+            got = this->range(asked);
+        else if (path == "/kv-txn")
+            got = this->transact(asked);
+        else
+            got = this->lease_call(asked);
+    }
+    if (now == store_fault::lost_writes && path == "/kv-txn")
+        co_await pause_for(std::chrono::seconds{5});
+    {
+        const std::scoped_lock lock{this->mutex};
+        if (this->fault == store_fault::reset) {
+            caller.reset();
+            co_return false;
+        }
+    }
+    co_return co_await caller.write(http_answer(got.status, got.lines, got.body));
+}
+
+asio::awaitable<http::response> standin_store::watch(const http::request& asked)
+{
+    const std::string prefix = decoded(asked.query("prefix"));
+    const std::int64_t after = to_integer(asked.query("after")).value_or(0);
+    const milliseconds wait{to_integer(asked.query("wait_ms")).value_or(0)};
+    const time_point until = runtime_clock::now() + wait;
+    std::optional<http::response> found;
+    while (!found) {
+        found = this->news(prefix, after);
+        if (!found && runtime_clock::now() >= until) {
+            constexpr unsigned ok = 200;
+            found = json_of(ok, {{"events", json::array()}, {"current_rev", after}});
+        }
+        if (!found)
+            co_await pause_for(milliseconds{3});
+    }
+    co_return *found;
+}
+
+std::optional<http::response> standin_store::news(const std::string& prefix, std::int64_t after) const
+{
+    constexpr unsigned ok = 200;
+    constexpr unsigned gone = 410;
+    constexpr unsigned busy = 503;
+    const std::scoped_lock lock{this->mutex};
+    if (this->fault == store_fault::deaf_watches)
+        return std::nullopt;
+    if (this->fault == store_fault::reset || this->fault == store_fault::busy)
+        return http::text_response(busy, "");
+    if (after < this->compacted)
+        return http::text_response(gone, "");
+    json events = json::array();
+    for (const event& change : this->history) {
+        if (change.revision <= after || !change.key.starts_with(prefix))
+            continue;
+        if (change.now)
+            events.push_back({{"key", change.key},
+                              {"value", to_base64(change.now->value)},
+                              {"revision", change.revision},
+                              {"created", change.now->created},
+                              {"lease", change.now->lease}});
+        else
+            events.push_back({{"key", change.key}, {"revision", change.revision}, {"deleted", true}});
+    }
+    if (events.empty())
+        return std::nullopt;
+    return json_of(ok, {{"events", events}, {"current_rev", this->revision}});
+}
+
+http::response standin_store::range(const http::request& asked) const
+{
+    constexpr unsigned ok = 200;
+    const std::string prefix = decoded(asked.query("prefix"));
+    const std::scoped_lock lock{this->mutex};
+    json found = json::array();
+    for (const auto& [key, entry] : this->items) {
+        if (key.starts_with(prefix))
+            found.push_back({{"key", key},
+                             {"value", to_base64(entry.value)},
+                             {"revision", entry.revision},
+                             {"created", entry.created},
+                             {"lease", entry.lease}});
+    }
+    return json_of(ok, {{"items", found}, {"truncated", false}, {"current_rev", this->revision}});
+}
+
+http::response standin_store::transact(const http::request& asked)
+{
+    constexpr unsigned ok = 200;
+    constexpr unsigned not_found = 404;
+    const json body = json::parse(asked.body);
+    const std::scoped_lock lock{this->mutex};
+    for (const json& put : body.at("puts")) {
+        const std::int64_t lease = put.value("lease", std::int64_t{0});
+        if (lease != 0 && !this->leases.contains(lease))
+            return json_of(not_found, json::object());
+    }
+    for (const json& put : body.at("puts"))
+        this->write(put.at("key"), from_base64(put.at("value").get<std::string>()), put.value("lease", std::int64_t{0}));
+    return json_of(ok, {{"revision", this->revision}});
+}
+
+http::response standin_store::lease_call(const http::request& asked)
+{
+    constexpr unsigned ok = 200;
+    constexpr unsigned not_found = 404;
+    constexpr std::string_view keep = "/kv-keep/";
+    const std::scoped_lock lock{this->mutex};
+    if (asked.path() == "/kv-lease") {
+        const std::int64_t lease = this->next_lease++;
+        this->leases.emplace(lease, true);
+        return json_of(ok, {{"lease", lease}, {"ttl_ms", json::parse(asked.body).at("ttl_ms")}});
+    }
+    if (asked.path().starts_with(keep)) {
+        const auto lease = to_integer(asked.path().substr(keep.size()));
+        return json_of(lease && this->leases.contains(*lease) ? ok : not_found, json::object());
+    }
+    return json_of(not_found, json::object());
+}
+
+} // namespace radishstep::testing
