Let plain calls wait for a free slot, on-time ones first

Change: plain calls wait in the hosts' lines as model requests do, as long as the hosts' loads are known within a third of a call.

--- a/src/forward/endpoint_chooser.cpp
+++ b/src/forward/endpoint_chooser.cpp
@@ -57,25 +57,30 @@
 {
 }
 
-std::optional<endpoint> endpoint_chooser::choose_plain(const std::string& service, const avoided_endpoints& avoided,
-                                                       double draw, time_point now) const
+tl::expected<endpoint, no_place> endpoint_chooser::choose_plain(const std::string& service, const place_search& search,
+                                                                time_point now) const
 {
-    const endpoint* best = nullptr;
-    double best_score = std::numeric_limits<double>::max();
+    const auto candidates = this->candidates(service, endpoint_phase::whole, search.avoided, now);
+    if (candidates.empty())
+        return tl::unexpected{no_place::no_endpoint};
+    std::vector<std::pair<double, const endpoint*>> places;
     std::size_t index = 0;
-    for (const endpoint* candidate : this->candidates(service, endpoint_phase::whole, avoided, now)) {
+    for (const endpoint* candidate : candidates) {
         const std::string incarnation = candidate->incarnation();
-        const endpoint_load there = this->load.at(incarnation, now);
-        double score = (there.calls + 1.0) * this->health.pace(incarnation, now);
+        const int calls = this->load.at(incarnation, now).calls;
+        double score = (calls + 1.0) * this->health.pace(incarnation, now);
         score += candidate->zone == this->zone ? 0 : other_zone_weight;
-        score += jitter_weight * mixed(draw, index++);
+        score += jitter_weight * mixed(search.draw, index++);
         score += this->health.is_avoided(incarnation, now) ? avoided_weight : 0;
-        if (score < best_score) {
-            best_score = score;
-            best = candidate;
-        }
+        const std::int64_t ahead = search.are_loads_fresh ? calls_ahead : calls_ahead_unknown;
+        for (std::int64_t place = calls; place < candidate->slots + ahead; ++place)
+            places.emplace_back(score++, candidate);
     }
-    return best == nullptr ? std::nullopt : std::optional<endpoint>{*best};
+    if (places.size() <= search.left_to_others)
+        return tl::unexpected{no_place::full};
+    const auto chosen = places.begin() + static_cast<std::ptrdiff_t>(search.left_to_others);
+    std::ranges::nth_element(places, chosen);
+    return *chosen->second;
 }
 
 tl::expected<model_places, no_place> endpoint_chooser::choose_model(const model_demand& demand,
--- a/src/forward/endpoint_chooser.h
+++ b/src/forward/endpoint_chooser.h
@@ -49,6 +49,8 @@
     double draw = 0;
     /// The best places that requests of other hosts will take.
     std::size_t left_to_others = 0;
+    /// The loads at other hosts are known within a fraction of a call's time.
+    bool are_loads_fresh = true;
 };
 
 /// Why no place was found.
@@ -75,9 +77,15 @@
     endpoint_chooser(const endpoint_directory& directory, const fleet_load& load, const endpoint_health& health,
                      std::string zone);
 
-    /// Returns the endpoint for a plain call, or nothing when the service has none.
-    std::optional<endpoint> choose_plain(const std::string& service, const avoided_endpoints& avoided, double draw,
-                                         time_point now) const;
+    /// Calls beyond its slots that an endpoint is given, so that a slot that gets free is used at once.
+    static constexpr std::int64_t calls_ahead = 1;
+    /// Calls beyond its slots while the loads at other hosts are known too late to wait for a free slot:
+    /// a good part of what endpoints queue themselves.
+    static constexpr std::int64_t calls_ahead_unknown = 16;
+
+    /// Returns the endpoint for a plain call, or why there is none.
+    tl::expected<endpoint, no_place> choose_plain(const std::string& service, const place_search& search,
+                                                  time_point now) const;
 
     /// Returns the engines for a model request, or why there are none.
     tl::expected<model_places, no_place> choose_model(const model_demand& demand, const place_search& search,
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -34,6 +34,8 @@
     /// Requests that wait for a place, by service.
     std::map<std::string, waiting_line> lines;
     config_ptr config;
+    /// The loads at other hosts are known within a fraction of a plain call's time.
+    bool are_loads_fresh = true;
     /// Runs when work began or ended at an endpoint, or a request began or ended to wait.
     std::function<void()> on_load_change;
     std::mt19937_64 random;
@@ -41,6 +43,9 @@
     /// Runs the hook for changes.
     void note_change() const;
 
+    /// Returns the bounds of a search for the first request of a line.
+    place_search search_for(const avoided_endpoints& avoided, const waiting_head& own, time_point now);
+
     /// Returns the first request of each line.
     std::vector<waiting_head> waiting_heads() const;
 
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -41,6 +41,10 @@
 
 constexpr milliseconds stop_poll{20};
 
+/// Longest pause between reports with which hosts wait for free slots at plain endpoints: a third of the
+/// time of a usual call.
+constexpr milliseconds fresh_pause{25};
+
 /// Hosts assumed to share the retry budget until the key-value service has told: more than are likely.
 constexpr std::size_t unknown_hosts = 12;
 
@@ -231,6 +235,7 @@
     if (!change.value && host == this->settings.host && !this->is_stopping)
         this->must_register = true;
     this->peers.set_peers(this->hosts);
+    this->context.are_loads_fresh = this->peers.report_pause() <= fresh_pause;
     this->context.budget.configure(this->settings.retries, this->hosts.size());
 }
 
--- a/src/forward/model_forward.cpp
+++ b/src/forward/model_forward.cpp
@@ -7,6 +7,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "forward/place_wait.h"
 #include "forward/request_rules.h"
 
 namespace radishstep::forward {
@@ -15,9 +16,6 @@
 
 namespace {
 
-/// How often a request that waits for a place looks again: a fraction of the time that a stream takes.
-constexpr milliseconds look_again_time{10};
-
 /// A prefill engine that takes this much longer than expected counts as stuck.
 constexpr milliseconds prefill_margin{500};
 constexpr double prefill_factor = 2.5;
@@ -107,47 +105,26 @@
 
 asio::awaitable<tl::expected<model_forward::reserved_places, error>> model_forward::reserve()
 {
-    waiting_line& line = this->context.lines[this->hand.service];
-    waiting_line::ticket place = line.join(this->hand.way.priority, runtime_clock::now());
-    this->context.note_change();
-    const time_point start = runtime_clock::now();
-    const time_point late_from = this->hand.arrived + this->hand.way.objective - serving_time;
-    const milliseconds longest_wait{
-        static_cast<milliseconds::rep>(to_ms(this->hand.way.objective) * longest_wait_objectives)};
-    const time_point give_up = this->hand.arrived + longest_wait;
-    const bool has_come_back = this->hand.asked.patience && *this->hand.asked.patience < this->hand.way.timeout;
-    tl::expected<model_places, no_place> found = tl::unexpected{no_place::full};
-    while (true) {
-        const time_point now = runtime_clock::now();
-        if (!place.is_late && (has_come_back || now >= late_from))
-            place = line.fall_back(place);
-        found = this->look_for_places(line, place);
-        if (found || found.error() == no_place::no_endpoint || now >= give_up || this->hand.watch.is_caller_gone() ||
-            this->hand.watch.left() < least_useful_time)
-            break;
-        co_await this->hand.watch.pause(look_again_time);
-    }
-    line.leave(place);
-    this->context.note_change();
-    this->log_places(found, start, line.size());
+    model_places found;
+    place_finder find = [this, &found](const place_search& search) -> std::optional<no_place> {
+        auto looked = this->look_for_places(search);
+        if (!looked)
+            return looked.error();
+        found = std::move(*looked);
+        return std::nullopt;
+    };
+    const wait_bounds bounds = bounds_of(this->hand, serving_time, longest_wait_objectives);
+    const auto missing = co_await wait_for_place(this->context, this->hand, this->avoided, bounds, std::move(find));
     if (this->hand.watch.is_caller_gone())
         co_return fail(error_kind::caller_gone, "the caller has left", "");
-    if (!found && found.error() == no_place::no_endpoint)
-        co_return fail(error_kind::no_endpoint, "no engine of the service takes the request",
-                       "come back after the given time");
-    if (!found)
-        co_return fail(error_kind::overloaded, "all engines of the service are full", "come back after the given time");
-    co_return this->hold(std::move(*found));
+    if (missing)
+        co_return tl::unexpected{reason_of(*missing)};
+    co_return this->hold(std::move(found));
 }
 
-tl::expected<model_places, no_place> model_forward::look_for_places(const waiting_line& line,
-                                                                    const waiting_line::ticket& place)
+tl::expected<model_places, no_place> model_forward::look_for_places(const place_search& search)
 {
     const time_point now = runtime_clock::now();
-    if (!line.is_first(place))
-        return tl::unexpected{no_place::full};
-    const waiting_head own{this->hand.service, place.is_late, place.since};
-    const place_search search{this->avoided, this->context.draw(), this->context.load.heads_before(own, now)};
     if (this->has_kept_prompt())
         return this->context.chooser.choose_decoder(this->demand(), this->read->zone, search, now);
     this->read.reset();
@@ -197,20 +174,6 @@
                                              this->relay.last_event());
 }
 
-void model_forward::log_places(const tl::expected<model_places, no_place>& found, time_point start,
-                               std::size_t waiting) const
-{
-    // A place found at once is no news; its calls tell where it was.
-    if (found && runtime_clock::now() - start < look_again_time)
-        return;
-    log_decision("place", {{"request", this->hand.asked.id},
-                           {"waited_ms", ms_since(start)},
-                           {"prefill", found && found->prefill ? found->prefill->id : "none"},
-                           {"decode", found ? found->decode.id : "none"},
-                           {"prompt_tokens", std::to_string(this->hand.asked.prompt_tokens)},
-                           {"others_waiting", std::to_string(waiting)}});
-}
-
 void model_forward::log_call(std::string_view what, const endpoint& at, time_point sent,
                              const http::response& answer) const
 {
--- a/src/forward/model_forward.h
+++ b/src/forward/model_forward.h
@@ -48,7 +48,7 @@
     };
 
     boost::asio::awaitable<tl::expected<reserved_places, error>> reserve();
-    tl::expected<model_places, no_place> look_for_places(const waiting_line& line, const waiting_line::ticket& place);
+    tl::expected<model_places, no_place> look_for_places(const place_search& search);
     reserved_places hold(model_places places);
     model_demand demand() const;
     std::int64_t tokens_per_event() const;
@@ -57,7 +57,6 @@
     boost::asio::awaitable<bool> read_prompt(const endpoint& at);
     bool has_kept_prompt() const;
     http::request decode_call_to(const endpoint& at) const;
-    void log_places(const tl::expected<model_places, no_place>& found, time_point start, std::size_t waiting) const;
     void log_call(std::string_view what, const endpoint& at, time_point sent, const http::response& answer) const;
     void log_call(std::string_view what, const endpoint& at, time_point sent, const error& reason) const;
     boost::asio::awaitable<next_step> decode_at(const endpoint& at, load_guard& place);
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -83,12 +83,16 @@
     }
 }
 
+milliseconds peer_exchange::report_pause() const
+{
+    return std::max(shortest_pause, pause_per_peer * static_cast<milliseconds::rep>(this->peers.size()));
+}
+
 asio::awaitable<void> peer_exchange::send_reports()
 {
     time_point last_sent;
     while (true) {
-        const auto scaled = pause_per_peer * static_cast<milliseconds::rep>(this->peers.size());
-        co_await pause_for(std::max(shortest_pause, scaled));
+        co_await pause_for(this->report_pause());
         const time_point now = runtime_clock::now();
         if (!this->is_changed && last_sent + heartbeat > now)
             continue;
--- a/src/forward/peer_exchange.h
+++ b/src/forward/peer_exchange.h
@@ -38,6 +38,9 @@
     /// Takes the hosts to tell, as "IP:port" by their names; this host itself is left out.
     void set_peers(const std::map<std::string, std::string>& addresses);
 
+    /// Returns the pause between reports.
+    milliseconds report_pause() const;
+
     /// Notes that the loads have changed.
     void note_change() { this->is_changed = true; }
 
--- /dev/null
+++ b/src/forward/place_wait.cpp
@@ -0,0 +1,79 @@
+#include "forward/place_wait.h"
+
+#include <utility>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "forward/request_rules.h"
+
+namespace radishstep::forward {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How often a request that waits looks again: a fraction of the time that a call takes.
+constexpr milliseconds look_again_time{6};
+
+void log_wait(const request_in_hand& hand, time_point start, std::optional<no_place> missing, std::size_t others)
+{
+    const auto waited = runtime_clock::now() - start;
+    observe_seconds("radishstep_forward_wait_seconds", to_ms(waited) / 1'000);
+    // A place found at once is no news; the call tells where it was.
+    if (!missing && waited < look_again_time)
+        return;
+    log_decision("waited", {{"request", hand.asked.id},
+                            {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(waited).count())},
+                            {"result", missing ? reason_of(*missing).message : "place"},
+                            {"others_waiting", std::to_string(others)}});
+}
+
+} // namespace
+
+wait_bounds bounds_of(const request_in_hand& hand, milliseconds serving_time, double longest_objectives)
+{
+    const milliseconds longest{static_cast<milliseconds::rep>(to_ms(hand.way.objective) * longest_objectives)};
+    // A caller that has come back has less time than the route allows, and has missed its objective already.
+    const bool has_come_back = hand.asked.patience && *hand.asked.patience < hand.way.timeout;
+    const time_point late_from = has_come_back ? hand.arrived : hand.arrived + hand.way.objective - serving_time;
+    return {late_from, hand.arrived + longest};
+}
+
+error reason_of(no_place cause)
+{
+    const std::string remedy = "come back after the given time";
+    if (cause == no_place::no_endpoint)
+        return {error_kind::no_endpoint, "no endpoint of the service takes the request", remedy};
+    return {error_kind::overloaded, "all endpoints of the service are full", remedy};
+}
+
+asio::awaitable<std::optional<no_place>> wait_for_place(forward_context& context, request_in_hand hand,
+                                                        const avoided_endpoints& avoided, wait_bounds bounds,
+                                                        place_finder find)
+{
+    waiting_line& line = context.lines[hand.service];
+    const time_point start = runtime_clock::now();
+    waiting_line::ticket place = line.join(hand.way.priority, start);
+    context.note_change();
+    std::optional<no_place> missing;
+    while (true) {
+        const time_point now = runtime_clock::now();
+        if (!place.is_late && now >= bounds.late_from)
+            place = line.fall_back(place);
+        missing = no_place::full;
+        if (line.is_first(place)) {
+            const waiting_head own{hand.service, place.is_late, place.since};
+            missing = find(context.search_for(avoided, own, now));
+        }
+        if (!missing || *missing == no_place::no_endpoint || now >= bounds.give_up || hand.watch.is_caller_gone() ||
+            hand.watch.left() < least_useful_time)
+            break;
+        co_await hand.watch.pause(look_again_time);
+    }
+    line.leave(place);
+    context.note_change();
+    log_wait(hand, start, missing, line.size());
+    co_return missing;
+}
+
+} // namespace radishstep::forward
--- a/src/forward/plain_forward.cpp
+++ b/src/forward/plain_forward.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "forward/place_wait.h"
 #include "forward/request_rules.h"
 
 namespace radishstep::forward {
@@ -17,18 +18,16 @@
         this->failure = this->reason_to_stop();
         if (this->failure)
             break;
-        const time_point now = runtime_clock::now();
-        auto chosen = this->context.chooser.choose_plain(this->hand.service, this->tried, this->context.draw(), now);
-        if (!chosen) {
-            this->failure = error{error_kind::no_endpoint, "no endpoint of the service takes the request",
-                                  "come back after the given time"};
+        const auto missing = co_await this->find_endpoint();
+        if (missing) {
+            this->failure = reason_of(*missing);
             break;
         }
-        if (this->arrivals > 0 && !this->context.budget.take(this->hand.service, now)) {
+        if (this->arrivals > 0 && !this->context.budget.take(this->hand.service, runtime_clock::now())) {
             this->failure = error{error_kind::overloaded, "the retry budget is spent", "come back after the given time"};
             break;
         }
-        const next_step next = co_await this->send_to(std::move(*chosen));
+        const next_step next = co_await this->send_to(this->chosen);
         if (next == next_step::done)
             break;
     }
@@ -36,6 +35,19 @@
     co_return this->outcome;
 }
 
+asio::awaitable<std::optional<no_place>> plain_forward::find_endpoint()
+{
+    place_finder find = [this](const place_search& search) -> std::optional<no_place> {
+        auto found = this->context.chooser.choose_plain(this->hand.service, search, runtime_clock::now());
+        if (!found)
+            return found.error();
+        this->chosen = std::move(*found);
+        return std::nullopt;
+    };
+    const wait_bounds bounds = bounds_of(this->hand, serving_time, longest_wait_objectives);
+    co_return co_await wait_for_place(this->context, this->hand, this->tried, bounds, std::move(find));
+}
+
 asio::awaitable<plain_forward::next_step> plain_forward::send_to(endpoint at)
 {
     endpoint_load work;
--- a/src/forward/plain_forward.h
+++ b/src/forward/plain_forward.h
@@ -36,6 +36,11 @@
 class plain_forward
 {
 public:
+    /// What a usual call takes of its objective.
+    static constexpr milliseconds serving_time{80};
+    /// How long a call waits for a place; the caller has time to come back after it.
+    static constexpr double longest_wait_objectives = 4;
+
     plain_forward(forward_context& context, request_in_hand hand);
 
     /// Returns once the caller has its answer or is gone.
@@ -44,6 +49,7 @@
 private:
     enum class next_step { done, try_again };
 
+    boost::asio::awaitable<std::optional<no_place>> find_endpoint();
     boost::asio::awaitable<next_step> send_to(endpoint at);
     void log_call(const endpoint& at, time_point sent, const std::string& ended, bool is_failure) const;
     next_step take_failure(const endpoint& at, const error& failure);
@@ -54,6 +60,7 @@
     forward_context& context;
     request_in_hand hand;
     avoided_endpoints tried;
+    endpoint chosen;
     /// The answer that the caller gets unless a better one comes.
     std::optional<http::response> answer;
     request_outcome outcome;
