Drop the guess at who has come back

Cause: a request with less time than its route allows counted as one that had come back and missed its objective. Ruled out: loads that leak (believed loads over time match the engines' places). Change: the guess is dropped; late requests look for places only while none waits that can still be on time; requests behind a large one look for as many further places as stand before them.

--- a/src/forward/fleet_load.cpp
+++ b/src/forward/fleet_load.cpp
@@ -59,6 +59,16 @@
     return sum;
 }
 
+bool fleet_load::has_on_time_head(const std::string& service, time_point now) const
+{
+    return std::ranges::any_of(this->peers, [&](const auto& peer) {
+        return peer.second.heard + peer_memory > now &&
+               std::ranges::any_of(peer.second.heads, [&service](const waiting_head& head) {
+                   return head.service == service && !head.is_late;
+               });
+    });
+}
+
 endpoint_load fleet_load::at(const std::string& incarnation, time_point now) const
 {
     endpoint_load sum;
--- a/src/forward/fleet_load.h
+++ b/src/forward/fleet_load.h
@@ -62,6 +62,9 @@
     /// leave as many places to them, so that no two take the same one.
     std::size_t heads_before(const waiting_head& own, time_point now) const;
 
+    /// Returns whether a request for the service waits at another host that can still meet its objective.
+    bool has_on_time_head(const std::string& service, time_point now) const;
+
     /// Returns the work of all hosts at an endpoint.
     endpoint_load at(const std::string& incarnation, time_point now) const;
 
--- a/src/forward/forward_config.h
+++ b/src/forward/forward_config.h
@@ -39,6 +39,8 @@
     milliseconds timeout{30'000};
     /// Within which the answer, or a stream's first event, is of full use to the caller.
     milliseconds objective{1'000};
+    /// The longest pause between two events with which a stream is still on time; 0: any.
+    milliseconds pause_objective{0};
     /// 0 is the most urgent.
     int priority = 0;
 
--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -22,11 +22,6 @@
         this->on_load_change();
 }
 
-place_search forward_context::search_for(const avoided_endpoints& avoided, const waiting_head& own, time_point now)
-{
-    return {avoided, this->draw(), this->load.heads_before(own, now), this->are_loads_fresh};
-}
-
 std::vector<waiting_head> forward_context::waiting_heads() const
 {
     std::vector<waiting_head> heads;
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -43,9 +43,6 @@
     /// Runs the hook for changes.
     void note_change() const;
 
-    /// Returns the bounds of a search for the first request of a line.
-    place_search search_for(const avoided_endpoints& avoided, const waiting_head& own, time_point now);
-
     /// Returns the first request of each line.
     std::vector<waiting_head> waiting_heads() const;
 
--- a/src/forward/forward_server.cpp
+++ b/src/forward/forward_server.cpp
@@ -33,7 +33,11 @@
     count("radishstep_forward_requests_total",
           {{"kind", way.is_model ? "model" : "plain"}, {"status", std::to_string(outcome.status)}});
     observe_seconds("radishstep_forward_request_seconds", to_ms(took) / 1'000, {{"kind", way.is_model ? "model" : "plain"}});
-    if (is_good && !is_sampled(asked.id))
+    const bool is_paused_long = way.pause_objective > milliseconds{0} && outcome.longest_pause > way.pause_objective;
+    const bool is_late = outcome.first_after > way.objective || is_paused_long;
+    if (is_late)
+        count("radishstep_forward_late_total", {{"kind", way.is_model ? "model" : "plain"}});
+    if (is_good && !is_late && !is_sampled(asked.id))
         return;
     log_decision("request_ended", {{"request", asked.id},
                                    {"route", way.name},
@@ -41,6 +45,9 @@
                                    {"cause", outcome.cause},
                                    {"endpoint", outcome.endpoint},
                                    {"sends", std::to_string(outcome.sends)},
+                                   {"late", is_late ? "yes" : "no"},
+                                   {"first_ms", std::to_string(outcome.first_after.count())},
+                                   {"longest_pause_ms", std::to_string(outcome.longest_pause.count())},
                                    {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(took).count())}});
 }
 
--- a/src/forward/model_forward.cpp
+++ b/src/forward/model_forward.cpp
@@ -165,6 +165,18 @@
         this->context.budget.give_back(this->hand.service);
 }
 
+void model_forward::note_event()
+{
+    const time_point now = runtime_clock::now();
+    if (this->last_event_at) {
+        const auto pause = std::chrono::duration_cast<milliseconds>(now - *this->last_event_at);
+        this->outcome.longest_pause = std::max(this->outcome.longest_pause, pause);
+    } else {
+        this->outcome.first_after = std::chrono::duration_cast<milliseconds>(now - this->hand.arrived);
+    }
+    this->last_event_at = now;
+}
+
 http::request model_forward::decode_call_to(const endpoint& at) const
 {
     std::optional<prefill_result> source;
@@ -320,6 +332,7 @@
         if (this->relay.is_broken())
             co_return this->take_failure(at, error{error_kind::protocol, "an event is too long", ""});
         if (!ready.empty()) {
+            this->note_event();
             const bool is_written = co_await this->hand.caller.write(std::move(ready));
             if (!is_written)
                 co_return next_step::try_again;
--- a/src/forward/model_forward.h
+++ b/src/forward/model_forward.h
@@ -56,6 +56,7 @@
     boost::asio::awaitable<next_step> serve_at(reserved_places& reserved);
     boost::asio::awaitable<bool> read_prompt(const endpoint& at);
     bool has_kept_prompt() const;
+    void note_event();
     http::request decode_call_to(const endpoint& at) const;
     void log_call(std::string_view what, const endpoint& at, time_point sent, const http::response& answer) const;
     void log_call(std::string_view what, const endpoint& at, time_point sent, const error& reason) const;
@@ -74,6 +75,7 @@
     avoided_endpoints avoided;
     event_relay relay;
     request_outcome outcome;
+    std::optional<time_point> last_event_at;
     std::optional<kept_prompt> read;
     bool is_answer_open = false;
     unsigned runs = 0;
--- a/src/forward/place_wait.cpp
+++ b/src/forward/place_wait.cpp
@@ -28,15 +28,22 @@
                             {"others_waiting", std::to_string(others)}});
 }
 
+/// Returns false for a request that has missed its objective while others can still meet theirs: it
+/// may be small enough for places that are too small for them, and would keep such places from growing.
+bool may_look(const forward_context& context, const request_in_hand& hand, const waiting_line& line,
+              const waiting_line::ticket& place, time_point now)
+{
+    const auto first = line.first();
+    const bool is_on_time_here = first && !first->is_late;
+    return !place.is_late || (!is_on_time_here && !context.load.has_on_time_head(hand.service, now));
+}
+
 } // namespace
 
 wait_bounds bounds_of(const request_in_hand& hand, milliseconds serving_time, double longest_objectives)
 {
     const milliseconds longest{static_cast<milliseconds::rep>(to_ms(hand.way.objective) * longest_objectives)};
-    // A caller that has come back has less time than the route allows, and has missed its objective already.
-    const bool has_come_back = hand.asked.patience && *hand.asked.patience < hand.way.timeout;
-    const time_point late_from = has_come_back ? hand.arrived : hand.arrived + hand.way.objective - serving_time;
-    return {late_from, hand.arrived + longest};
+    return {hand.arrived + hand.way.objective - serving_time, hand.arrived + longest};
 }
 
 error reason_of(no_place cause)
@@ -61,9 +68,10 @@
         if (!place.is_late && now >= bounds.late_from)
             place = line.fall_back(place);
         missing = no_place::full;
-        if (line.is_first(place)) {
-            const waiting_head own{hand.service, place.is_late, place.since};
-            missing = find(context.search_for(avoided, own, now));
+        if (may_look(context, hand, line, place, now)) {
+            place_search search{avoided, context.draw(), line.before(place), context.are_loads_fresh};
+            search.left_to_others += context.load.heads_before({hand.service, place.is_late, place.since}, now);
+            missing = find(search);
         }
         if (!missing || *missing == no_place::no_endpoint || now >= bounds.give_up || hand.watch.is_caller_gone() ||
             hand.watch.left() < least_useful_time)
--- a/src/forward/plain_forward.cpp
+++ b/src/forward/plain_forward.cpp
@@ -154,6 +154,8 @@
         this->outcome.cause = "caller_gone";
         co_return;
     }
+    this->outcome.first_after =
+        std::chrono::duration_cast<milliseconds>(runtime_clock::now() - this->hand.arrived);
     if (this->answer) {
         http::response got = std::move(*this->answer);
         http::response head = this->context.dialect.caller_head(got);
--- a/src/forward/plain_forward.h
+++ b/src/forward/plain_forward.h
@@ -28,6 +28,10 @@
     std::string cause;
     std::string endpoint;
     int sends = 0;
+    /// From its arrival to the first byte of its answer.
+    milliseconds first_after{0};
+    /// Longest time between two events of a stream.
+    milliseconds longest_pause{0};
 
     bool operator==(const request_outcome&) const = default;
 };
--- a/src/forward/waiting_line.cpp
+++ b/src/forward/waiting_line.cpp
@@ -1,5 +1,7 @@
 #include "forward/waiting_line.h"
 
+#include <iterator>
+
 namespace radishstep::forward {
 
 waiting_line::ticket waiting_line::join(int priority, time_point now)
@@ -25,9 +27,9 @@
     return *this->tickets.begin();
 }
 
-bool waiting_line::is_first(const ticket& place) const
+std::size_t waiting_line::before(const ticket& place) const
 {
-    return !this->tickets.empty() && *this->tickets.begin() == place;
+    return static_cast<std::size_t>(std::distance(this->tickets.begin(), this->tickets.lower_bound(place)));
 }
 
 } // namespace radishstep::forward
--- a/src/forward/waiting_line.h
+++ b/src/forward/waiting_line.h
@@ -37,8 +37,8 @@
     /// Leaves the line, served or not.
     void leave(const ticket& place);
 
-    /// Returns true when nobody stands before `place`.
-    bool is_first(const ticket& place) const;
+    /// Returns how many requests stand before `place`.
+    std::size_t before(const ticket& place) const;
 
     /// Returns how many requests wait.
     std::size_t size() const { return this->tickets.size(); }
