Report changes at model engines at once in any fleet; batch watched changes

Change: placements at model engines are reported within 8 ms, plain calls as before; a watch waits 200 ms after news.

--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -16,10 +16,10 @@
     return std::uniform_real_distribution<double>{0, 1}(this->random);
 }
 
-void forward_context::note_change() const
+void forward_context::note_change(bool is_urgent) const
 {
     if (this->on_load_change)
-        this->on_load_change();
+        this->on_load_change(is_urgent);
 }
 
 std::vector<waiting_head> forward_context::waiting_heads() const
@@ -36,7 +36,7 @@
     : context(context), incarnation(std::move(incarnation)), work(work)
 {
     this->context.load.begin(this->incarnation, this->work);
-    this->context.note_change();
+    this->context.note_change(this->work.tokens > 0);
 }
 
 load_guard::~load_guard()
@@ -55,7 +55,7 @@
     if (std::exchange(this->ended, true))
         return;
     this->context.load.end(this->incarnation, this->work);
-    this->context.note_change();
+    this->context.note_change(this->work.tokens > 0);
 }
 
 } // namespace radishstep::forward
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -36,12 +36,13 @@
     config_ptr config;
     /// The loads at other hosts are known within a fraction of a plain call's time.
     bool are_loads_fresh = true;
-    /// Runs when work began or ended at an endpoint, or a request began or ended to wait.
-    std::function<void()> on_load_change;
+    /// Runs when work began or ended at an endpoint, or a request began or ended to wait. Engine memory is
+    /// scarce and held for seconds, so such changes are urgent.
+    std::function<void(bool is_urgent)> on_load_change;
     std::mt19937_64 random;
 
     /// Runs the hook for changes.
-    void note_change() const;
+    void note_change(bool is_urgent) const;
 
     /// Returns the first request of each line.
     std::vector<waiting_head> waiting_heads() const;
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -75,7 +75,7 @@
       signals(io, SIGTERM, SIGINT, SIGHUP)
 {
     this->context.budget.configure(this->settings.retries, unknown_hosts);
-    this->context.on_load_change = [this] { this->peers.note_change(); };
+    this->context.on_load_change = [this](bool is_urgent) { this->peers.note_change(is_urgent); };
 }
 
 gateway::~gateway() = default;
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -83,6 +83,12 @@
     }
 }
 
+void peer_exchange::note_change(bool urgent)
+{
+    this->is_changed = true;
+    this->is_urgent = this->is_urgent || urgent;
+}
+
 milliseconds peer_exchange::report_pause() const
 {
     return std::max(shortest_pause, pause_per_peer * static_cast<milliseconds::rep>(this->peers.size()));
@@ -92,10 +98,14 @@
 {
     time_point last_sent;
     while (true) {
-        co_await pause_for(this->report_pause());
+        co_await pause_for(shortest_pause);
         const time_point now = runtime_clock::now();
-        if (!this->is_changed && last_sent + heartbeat > now)
+        const milliseconds usual = this->report_pause();
+        const bool is_due = this->is_urgent || (this->is_changed && last_sent + usual <= now) ||
+                            last_sent + std::max(heartbeat, usual * heartbeat_pauses) <= now;
+        if (!is_due)
             continue;
+        this->is_urgent = false;
         this->is_changed = false;
         last_sent = now;
         const std::string report = this->encode_report();
--- a/src/forward/peer_exchange.h
+++ b/src/forward/peer_exchange.h
@@ -25,8 +25,10 @@
     static constexpr milliseconds pause_per_peer{2};
     /// Shortest pause between reports: some requests' worth of changes go into one datagram.
     static constexpr milliseconds shortest_pause{8};
-    /// How often a host reports when no work began or ended: what streams hold grows meanwhile.
+    /// How often a host reports when no work began or ended: what streams hold grows meanwhile. In fleets
+    /// whose usual pause is longer, three of those.
     static constexpr milliseconds heartbeat{150};
+    static constexpr int heartbeat_pauses = 3;
 
     /// `heads` returns the first request of each line of this host.
     peer_exchange(boost::asio::any_io_executor executor, std::string host, fleet_load& load,
@@ -41,8 +43,8 @@
     /// Returns the pause between reports.
     milliseconds report_pause() const;
 
-    /// Notes that the loads have changed.
-    void note_change() { this->is_changed = true; }
+    /// Notes that the loads have changed; an urgent change is reported after the shortest pause.
+    void note_change(bool is_urgent);
 
     /// Sends reports until the process ends.
     boost::asio::awaitable<void> send_reports();
@@ -62,6 +64,7 @@
     std::map<std::string, std::int64_t> newest;
     std::int64_t sequence;
     bool is_changed = false;
+    bool is_urgent = false;
 };
 
 } // namespace radishstep::forward
--- a/src/forward/place_wait.cpp
+++ b/src/forward/place_wait.cpp
@@ -61,7 +61,7 @@
     waiting_line& line = context.lines[hand.service];
     const time_point start = runtime_clock::now();
     waiting_line::ticket place = line.join(hand.way.priority, start);
-    context.note_change();
+    context.note_change(hand.way.is_model);
     std::optional<no_place> missing;
     while (true) {
         const time_point now = runtime_clock::now();
@@ -79,7 +79,7 @@
         co_await hand.watch.pause(look_again_time);
     }
     line.leave(place);
-    context.note_change();
+    context.note_change(hand.way.is_model);
     log_wait(hand, start, missing, line.size());
     co_return missing;
 }
--- a/src/keyvalue/watched_prefix.cpp
+++ b/src/keyvalue/watched_prefix.cpp
@@ -61,6 +61,8 @@
     this->note_answer();
     for (const stored_change& change : got->changes)
         this->hooks.on_change(change);
+    if (!got->changes.empty())
+        co_await pause_for(batch_pause);
     co_return true;
 }
 
--- a/src/keyvalue/watched_prefix.h
+++ b/src/keyvalue/watched_prefix.h
@@ -33,6 +33,8 @@
     /// How long a watch waits for news: the longest that the service allows, since each call has its
     /// price. A connection that went silent is found by its keep-alive probes.
     static constexpr milliseconds watch_time{25'000};
+    /// Pause between news and the next watch, so that changes that come together cost one call.
+    static constexpr milliseconds batch_pause{200};
     /// Pause after the first failed call, and the longest one.
     static constexpr milliseconds first_pause{60};
     static constexpr milliseconds longest_pause{600};
