Test choices, waiting, budget, membership and decoders without a network

Change: 26 cases for the parts that hold no socket, among them the crest patterns (a freed place that several hosts want, late requests beside on-time ones), and 11 for the platform's documents and headers.

--- /dev/null
+++ b/tests/forward/test_choices.cpp
@@ -0,0 +1,190 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "forward/endpoint_chooser.h"
+
+namespace {
+
+using namespace radishstep;
+using namespace radishstep::forward;
+using namespace std::chrono_literals;
+
+endpoint make_endpoint(const std::string& id, const std::string& service, endpoint_phase phase, int slots,
+                       const std::string& zone = "a")
+{
+    endpoint made;
+    made.id = id;
+    made.service = service;
+    made.address = "127.0.0.1:1";
+    made.zone = zone;
+    made.slots = slots;
+    made.phase = phase;
+    return made;
+}
+
+/// Which endpoint gets a request, by load, memory, health and zone.
+class test_choices : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_choices);
+    CPPUNIT_TEST(least_loaded_endpoint_is_chosen_over_all_hosts);
+    CPPUNIT_TEST(draining_endpoint_is_never_chosen);
+    CPPUNIT_TEST(failing_endpoint_is_used_only_when_no_other_is_left);
+    CPPUNIT_TEST(slowed_endpoint_gets_less);
+    CPPUNIT_TEST(endpoint_recovers_its_share_after_a_while);
+    CPPUNIT_TEST(full_endpoints_make_calls_wait);
+    CPPUNIT_TEST(memory_binds_before_slots);
+    CPPUNIT_TEST(prompt_is_read_in_the_zone_of_its_decode_engine);
+    CPPUNIT_TEST(decode_engine_reads_itself_when_no_prefill_engine_is_left);
+    CPPUNIT_TEST(crest_two_hosts_do_not_take_the_same_freed_place);
+    CPPUNIT_TEST(crest_plain_calls_leave_slots_to_those_that_wait_longer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        this->directory = {};
+        this->load = {};
+        this->health = {};
+    }
+
+    void add(const endpoint& entry) { this->directory.put(entry.id, entry); }
+
+    place_search search(std::size_t left_to_others = 0) { return {this->none, 0.4, left_to_others, true}; }
+
+    std::string plain(std::size_t left_to_others = 0)
+    {
+        const auto found = this->chooser.choose_plain("app", this->search(left_to_others), this->now);
+        return found ? found->id : "none";
+    }
+
+    static model_demand demand(std::int64_t prompt = 3'000)
+    {
+        return {.service = "llm", .prompt_tokens = prompt, .memory_tokens = 38'411};
+    }
+
+    void least_loaded_endpoint_is_chosen_over_all_hosts()
+    {
+        const endpoint first = make_endpoint("p0", "app", endpoint_phase::whole, 6);
+        const endpoint second = make_endpoint("p1", "app", endpoint_phase::whole, 6);
+        this->add(first);
+        this->add(second);
+        this->load.begin(first.incarnation(), {.calls = 1});
+        CPPUNIT_ASSERT_EQUAL(std::string{"p1"}, this->plain());
+        this->load.take_peer("host-2", {{second.incarnation(), {.calls = 4}}}, {}, this->now);
+        CPPUNIT_ASSERT_EQUAL(std::string{"p0"}, this->plain());
+        this->now += fleet_load::peer_memory + 1ms;
+        CPPUNIT_ASSERT_EQUAL(std::string{"p1"}, this->plain());
+    }
+
+    void draining_endpoint_is_never_chosen()
+    {
+        endpoint leaving = make_endpoint("p0", "app", endpoint_phase::whole, 6);
+        leaving.is_draining = true;
+        this->add(leaving);
+        CPPUNIT_ASSERT_EQUAL(std::string{"none"}, this->plain());
+    }
+
+    void failing_endpoint_is_used_only_when_no_other_is_left()
+    {
+        const endpoint bad = make_endpoint("p0", "app", endpoint_phase::whole, 6);
+        const endpoint good = make_endpoint("p1", "app", endpoint_phase::whole, 6);
+        this->add(bad);
+        this->add(good);
+        this->health.record(bad.incarnation(), call_outcome::unreachable, this->now);
+        this->load.begin(good.incarnation(), {.calls = 3});
+        CPPUNIT_ASSERT_EQUAL(std::string{"p1"}, this->plain());
+        this->directory.remove("p1", this->now);
+        CPPUNIT_ASSERT_EQUAL(std::string{"p0"}, this->plain());
+    }
+
+    void slowed_endpoint_gets_less()
+    {
+        const endpoint slow = make_endpoint("p0", "app", endpoint_phase::whole, 6);
+        const endpoint usual = make_endpoint("p1", "app", endpoint_phase::whole, 6);
+        this->add(slow);
+        this->add(usual);
+        for (int i = 0; i < 4; ++i)
+            this->health.record_pace(slow.incarnation(), 4, this->now);
+        this->load.begin(usual.incarnation(), {.calls = 2});
+        CPPUNIT_ASSERT_EQUAL(std::string{"p1"}, this->plain());
+    }
+
+    void endpoint_recovers_its_share_after_a_while()
+    {
+        for (int i = 0; i < 10; ++i)
+            this->health.record("p0@0", call_outcome::failed, this->now);
+        CPPUNIT_ASSERT(this->health.is_avoided("p0@0", this->now));
+        CPPUNIT_ASSERT(!this->health.is_avoided("p0@0", this->now + 10s));
+    }
+
+    void full_endpoints_make_calls_wait()
+    {
+        const endpoint only = make_endpoint("p0", "app", endpoint_phase::whole, 6);
+        this->add(only);
+        this->load.begin(only.incarnation(), {.calls = 7});
+        const auto found = this->chooser.choose_plain("app", this->search(), this->now);
+        CPPUNIT_ASSERT(!found && found.error() == no_place::full);
+    }
+
+    void memory_binds_before_slots()
+    {
+        const endpoint decoder = make_endpoint("d0", "llm", endpoint_phase::decode, 128);
+        this->add(decoder);
+        this->load.begin(decoder.incarnation(), {.calls = 9, .tokens = 33'000});
+        CPPUNIT_ASSERT(!this->chooser.choose_model(demand(), this->search(), this->now));
+        CPPUNIT_ASSERT(this->chooser.choose_model(demand(1'000), this->search(), this->now).has_value());
+    }
+
+    void prompt_is_read_in_the_zone_of_its_decode_engine()
+    {
+        this->add(make_endpoint("r0", "llm", endpoint_phase::prefill, 128, "b"));
+        this->add(make_endpoint("r1", "llm", endpoint_phase::prefill, 128, "a"));
+        this->add(make_endpoint("d0", "llm", endpoint_phase::decode, 128, "a"));
+        const auto found = this->chooser.choose_model(demand(), this->search(), this->now);
+        CPPUNIT_ASSERT(found.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"r1"}, found->prefill->id);
+    }
+
+    void decode_engine_reads_itself_when_no_prefill_engine_is_left()
+    {
+        this->add(make_endpoint("d0", "llm", endpoint_phase::decode, 128));
+        const auto found = this->chooser.choose_model(demand(), this->search(), this->now);
+        CPPUNIT_ASSERT(found.has_value());
+        CPPUNIT_ASSERT(!found->prefill);
+    }
+
+    // Pattern: at a crest requests wait on all hosts, and one engine gets room for one of them.
+    void crest_two_hosts_do_not_take_the_same_freed_place()
+    {
+        const endpoint decoder = make_endpoint("d0", "llm", endpoint_phase::decode, 128);
+        this->add(decoder);
+        this->load.begin(decoder.incarnation(), {.calls = 8, .tokens = 32'000});
+        const waiting_head own{"llm", false, this->now - 100ms};
+        this->load.take_peer("host-2", {}, {{"llm", false, this->now - 300ms}}, this->now);
+        const std::size_t before = this->load.heads_before(own, this->now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, before);
+        CPPUNIT_ASSERT(this->chooser.choose_model(demand(), this->search(), this->now).has_value());
+        CPPUNIT_ASSERT(!this->chooser.choose_model(demand(), this->search(before), this->now));
+    }
+
+    // Pattern: calls wait on several hosts while two slots are free.
+    void crest_plain_calls_leave_slots_to_those_that_wait_longer()
+    {
+        const endpoint only = make_endpoint("p0", "app", endpoint_phase::whole, 6);
+        this->add(only);
+        this->load.begin(only.incarnation(), {.calls = 5});
+        CPPUNIT_ASSERT_EQUAL(std::string{"p0"}, this->plain(1));
+        CPPUNIT_ASSERT_EQUAL(std::string{"none"}, this->plain(2));
+    }
+
+private:
+    endpoint_directory directory;
+    fleet_load load;
+    endpoint_health health;
+    avoided_endpoints none;
+    time_point now = runtime_clock::now();
+    endpoint_chooser chooser{this->directory, this->load, this->health, "a"};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_choices);
+
+} // namespace
--- /dev/null
+++ b/tests/forward/test_membership_and_budget.cpp
@@ -0,0 +1,234 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <mutex>
+
+#include "base/log_writer.h"
+#include "forward/endpoint_directory.h"
+#include "forward/event_relay.h"
+#include "forward/fleet_load.h"
+#include "forward/forward_config.h"
+#include "forward/request_rules.h"
+#include "forward/retry_budget.h"
+#include "forward/waiting_line.h"
+
+namespace {
+
+using namespace radishstep;
+using namespace radishstep::forward;
+using namespace std::chrono_literals;
+
+/// The parts of the gateway that hold state and no socket.
+class test_membership_and_budget : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_membership_and_budget);
+    CPPUNIT_TEST(longest_prefix_of_the_host_wins);
+    CPPUNIT_TEST(split_follows_the_weights);
+    CPPUNIT_TEST(vanished_entry_is_gone_at_once_in_calm_times);
+    CPPUNIT_TEST(entries_that_vanish_in_an_outage_have_time_to_come_back);
+    CPPUNIT_TEST(entry_that_came_back_is_kept);
+    CPPUNIT_TEST(hosts_together_stay_within_the_budget);
+    CPPUNIT_TEST(budget_comes_back_with_the_window);
+    CPPUNIT_TEST(call_that_reached_nobody_costs_no_budget);
+    CPPUNIT_TEST(on_time_requests_go_before_late_ones);
+    CPPUNIT_TEST(late_requests_of_other_hosts_do_not_go_first);
+    CPPUNIT_TEST(stream_is_passed_on_in_whole_events);
+    CPPUNIT_TEST(events_that_the_caller_has_are_left_out);
+    CPPUNIT_TEST(not_run_is_said_only_when_nothing_may_have_run);
+    CPPUNIT_TEST(callers_come_back_within_a_third_of_their_time);
+    CPPUNIT_TEST(slow_log_reader_costs_lines_and_no_time);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static endpoint entry(const std::string& id)
+    {
+        endpoint made;
+        made.id = id;
+        made.service = "app";
+        return made;
+    }
+
+    void longest_prefix_of_the_host_wins()
+    {
+        forward_config config;
+        for (const char* prefix : {"/a/", "/a/b/", "/"}) {
+            route way;
+            way.host = "one.example";
+            way.prefix = prefix;
+            config.routes.push_back(way);
+        }
+        config.routes[2].host = "two.example";
+        CPPUNIT_ASSERT_EQUAL(std::string{"/a/b/"}, config.find_route("one.example", "/a/b/c")->prefix);
+        CPPUNIT_ASSERT_EQUAL(std::string{"/a/"}, config.find_route("ONE.example", "/a/bc")->prefix);
+        CPPUNIT_ASSERT(config.find_route("one.example", "/ab/") == nullptr);
+        CPPUNIT_ASSERT(config.find_route("two.example", "/ab/") != nullptr);
+    }
+
+    void split_follows_the_weights()
+    {
+        route way;
+        way.services = {{"old", 90}, {"new", 10}};
+        int new_ones = 0;
+        constexpr int draws = 1'000;
+        for (int i = 0; i < draws; ++i)
+            new_ones += choose_service(way, static_cast<double>(i) / draws) == "new" ? 1 : 0;
+        CPPUNIT_ASSERT_EQUAL(100, new_ones);
+    }
+
+    void vanished_entry_is_gone_at_once_in_calm_times()
+    {
+        endpoint_directory directory;
+        directory.put("p0", entry("p0"));
+        directory.remove("p0", this->now);
+        CPPUNIT_ASSERT(directory.usable("app").empty());
+    }
+
+    void entries_that_vanish_in_an_outage_have_time_to_come_back()
+    {
+        endpoint_directory directory;
+        directory.put("p0", entry("p0"));
+        directory.source_lost();
+        directory.source_regained(this->now);
+        directory.replace_all({}, this->now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.usable("app").size());
+        CPPUNIT_ASSERT(directory.settle(this->now + 2s).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.settle(this->now + 2'400ms).size());
+        CPPUNIT_ASSERT(directory.usable("app").empty());
+    }
+
+    void entry_that_came_back_is_kept()
+    {
+        endpoint_directory directory;
+        directory.put("p0", entry("p0"));
+        directory.source_lost();
+        directory.remove("p0", this->now);
+        directory.source_regained(this->now);
+        directory.put("p0", entry("p0"));
+        CPPUNIT_ASSERT(directory.settle(this->now + 3s).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.usable("app").size());
+    }
+
+    void hosts_together_stay_within_the_budget()
+    {
+        constexpr int hosts = 8;
+        constexpr int requests = 100;
+        const retry_limits limits{.ratio = 0.2, .window = 10s, .slack = 56};
+        int extras = 0;
+        for (int host = 0; host < hosts; ++host) {
+            retry_budget budget;
+            budget.configure(limits, hosts);
+            for (int i = 0; i < requests; ++i)
+                budget.count_request("app", this->now);
+            while (budget.take("app", this->now))
+                ++extras;
+        }
+        CPPUNIT_ASSERT(extras <= limits.ratio * hosts * requests + limits.slack);
+        CPPUNIT_ASSERT(extras > limits.ratio * hosts * requests);
+    }
+
+    void budget_comes_back_with_the_window()
+    {
+        retry_budget budget;
+        budget.configure({.ratio = 0, .window = 10s, .slack = 2}, 1);
+        CPPUNIT_ASSERT(budget.take("app", this->now));
+        CPPUNIT_ASSERT(!budget.take("app", this->now + 5s));
+        CPPUNIT_ASSERT(budget.take("app", this->now + 11s));
+    }
+
+    void call_that_reached_nobody_costs_no_budget()
+    {
+        retry_budget budget;
+        budget.configure({.ratio = 0, .window = 10s, .slack = 2}, 1);
+        CPPUNIT_ASSERT(budget.take("app", this->now));
+        budget.give_back("app");
+        CPPUNIT_ASSERT(budget.take("app", this->now));
+    }
+
+    // Pattern: a crest makes some requests late; those that come after it can still be on time.
+    void on_time_requests_go_before_late_ones()
+    {
+        waiting_line line;
+        auto first = line.join(1, this->now);
+        const auto second = line.join(1, this->now + 1s);
+        const auto urgent = line.join(0, this->now + 2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, line.before(urgent));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, line.before(first));
+        first = line.fall_back(first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, line.before(second));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, line.before(first));
+        line.leave(second);
+        line.leave(urgent);
+        CPPUNIT_ASSERT(line.first() == first);
+    }
+
+    // Pattern: each host has late requests; one that is on time anywhere goes before all of them.
+    void late_requests_of_other_hosts_do_not_go_first()
+    {
+        fleet_load load;
+        load.take_peer("host-2", {}, {{"llm", true, this->now - 3s}}, this->now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, load.heads_before({"llm", false, this->now}, this->now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, load.heads_before({"llm", true, this->now}, this->now));
+        CPPUNIT_ASSERT(!load.has_on_time_head("llm", this->now));
+        load.take_peer("host-2", {}, {{"llm", false, this->now}}, this->now);
+        CPPUNIT_ASSERT(load.has_on_time_head("llm", this->now));
+        CPPUNIT_ASSERT(!load.has_on_time_head("app", this->now));
+    }
+
+    void stream_is_passed_on_in_whole_events()
+    {
+        event_relay relay{std::nullopt};
+        CPPUNIT_ASSERT_EQUAL(std::string{"id: 1\ndata: a\n\n"}, relay.push("id: 1\ndata: a\n\nid: 2\nda"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, *relay.last_event());
+        relay.start_over();
+        CPPUNIT_ASSERT_EQUAL(std::string{"id: 2\ndata: b\n\n"}, relay.push("id: 2\ndata: b\n\n"));
+        CPPUNIT_ASSERT_EQUAL(2, relay.events());
+    }
+
+    void events_that_the_caller_has_are_left_out()
+    {
+        event_relay relay{3};
+        CPPUNIT_ASSERT_EQUAL(std::string{}, relay.push("id: 3\n\n"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"id: 4\n\n"}, relay.push("id: 4\n\n"));
+    }
+
+    void not_run_is_said_only_when_nothing_may_have_run()
+    {
+        for (const error_kind kind : {error_kind::overloaded, error_kind::no_endpoint, error_kind::unavailable,
+                                      error_kind::timed_out, error_kind::host_leaving}) {
+            const error reason{kind, "cause", "remedy"};
+            CPPUNIT_ASSERT(truthful_reason(reason, false) == reason);
+            CPPUNIT_ASSERT(http_status(truthful_reason(reason, true).kind) == 502);
+        }
+    }
+
+    void callers_come_back_within_a_third_of_their_time()
+    {
+        CPPUNIT_ASSERT(*come_back_after(false, 300ms) <= 100ms);
+        CPPUNIT_ASSERT(!come_back_after(true, 3s));
+    }
+
+    void slow_log_reader_costs_lines_and_no_time()
+    {
+        std::mutex gate;
+        std::string written;
+        std::unique_lock closed{gate};
+        {
+            log_writer writer{[&](const std::string& lines) {
+                                  const std::scoped_lock open{gate};
+                                  written += lines + "\n";
+                              },
+                              {.lines_per_second = 50, .waiting_lines = 20}};
+            for (int i = 0; i < 100; ++i)
+                writer.push("line", false, this->now);
+            CPPUNIT_ASSERT(writer.left_out() >= 50);
+            closed.unlock();
+        }
+        CPPUNIT_ASSERT(written.find("state=log_lines_left_out") != std::string::npos);
+    }
+
+private:
+    time_point now = runtime_clock::now();
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_membership_and_budget);
+
+} // namespace
--- /dev/null
+++ b/tests/platform/test_decoders.cpp
@@ -0,0 +1,172 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "platform/node_settings.h"
+#include "platform/site_dialect.h"
+#include "platform/site_documents.h"
+#include "platform/store_client.h"
+
+namespace {
+
+using namespace radishstep;
+using namespace std::chrono_literals;
+
+constexpr const char* config_text = R"({"version":7,
+  "routes":[
+    {"name":"r1","host":"h.example","prefix":"/a/","type":"streaming","timeout_ms":14000,"target_latency_ms":900,
+     "priority":1,"service":"llm","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300},
+    {"name":"r2","host":"h.example","prefix":"/b/","type":"unsafe","timeout_ms":2000,"target_latency_ms":300,
+     "priority":2,"backends":[{"service":"old","weight":90},{"service":"new","weight":10},{"service":"off","weight":0}],
+     "max_attempts":1}],
+  "services":[{"name":"llm","engine":{"slots":128,"kv_capacity":38411,"stride":13,"handle_ttl_s":0.5}},{"name":"old"}],
+  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+/// The platform's documents and headers, decoded into the gateway's own types.
+class test_decoders : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_decoders);
+    CPPUNIT_TEST(configuration_is_decoded);
+    CPPUNIT_TEST(unusable_configuration_names_the_field);
+    CPPUNIT_TEST(endpoint_entries_are_decoded);
+    CPPUNIT_TEST(entries_of_other_writers_name_no_endpoint);
+    CPPUNIT_TEST(settings_name_the_missing_field);
+    CPPUNIT_TEST(watch_news_are_decoded);
+    CPPUNIT_TEST(broken_store_answers_are_errors);
+    CPPUNIT_TEST(request_headers_are_decoded);
+    CPPUNIT_TEST(answers_are_judged);
+    CPPUNIT_TEST(refusals_say_when_to_come_back);
+    CPPUNIT_TEST(connection_headers_stay_on_their_connection);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void configuration_is_decoded()
+    {
+        const auto config = platform::decode_config(config_text);
+        CPPUNIT_ASSERT(config.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, config->version);
+        const forward::route& stream = config->routes[0];
+        CPPUNIT_ASSERT(stream.is_model && stream.is_stream && stream.is_repeatable);
+        CPPUNIT_ASSERT(stream.timeout == 14s && stream.objective == 900ms && stream.pause_objective == 300ms);
+        const forward::route& once = config->routes[1];
+        CPPUNIT_ASSERT(!once.is_model && !once.is_repeatable);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, once.services.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{38'411}, config->find_service("llm")->memory_tokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{13}, config->find_service("llm")->tokens_per_event);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{16'384}, config->limits.header_bytes);
+    }
+
+    void unusable_configuration_names_the_field()
+    {
+        const auto config = platform::decode_config(R"({"version":7,"routes":[{"name":"r1"}],"services":[]})");
+        CPPUNIT_ASSERT(!config);
+        CPPUNIT_ASSERT(config.error().message.find("host") != std::string::npos);
+        CPPUNIT_ASSERT(!platform::decode_config("[1,"));
+    }
+
+    void endpoint_entries_are_decoded()
+    {
+        const auto entry = platform::decode_endpoint(
+            "servers/i-1",
+            R"({"service":"llm","address":"10.0.0.1:80","zone":"a","slots":128,"state":"draining","phase":"decode","born":17})");
+        CPPUNIT_ASSERT(entry.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"i-1@17"}, entry->incarnation());
+        CPPUNIT_ASSERT(entry->is_draining && entry->phase == forward::endpoint_phase::decode);
+    }
+
+    void entries_of_other_writers_name_no_endpoint()
+    {
+        for (const char* text : {"", "no json", R"([1])", R"({"service":"llm"})",
+                                 R"({"service":"llm","address":7,"zone":"a","slots":1,"state":"ready"})",
+                                 R"({"service":"llm","address":"1.2.3.4:5","zone":"a","slots":1,"state":"resting"})",
+                                 R"({"service":"llm","address":"1.2.3.4:5","zone":"a","slots":"six","state":"ready"})",
+                                 R"({"service":"l","address":"1.2.3.4:5","zone":"a","slots":1,"state":"ready","born":"x"})"})
+            CPPUNIT_ASSERT_MESSAGE(text, !platform::decode_endpoint("servers/i-1", text));
+    }
+
+    void settings_name_the_missing_field()
+    {
+        const auto settings = platform::decode_node_settings(R"({"node_name":"n"})");
+        CPPUNIT_ASSERT(!settings && settings.error().kind == error_kind::bad_setting);
+        CPPUNIT_ASSERT(settings.error().message.find("bounds") != std::string::npos);
+    }
+
+    void watch_news_are_decoded()
+    {
+        const auto news = platform::decode_watch(
+            R"({"events":[{"key":"a","value":"Yg==","revision":412},{"key":"c","revision":413,"deleted":true}],"current_rev":413})");
+        CPPUNIT_ASSERT(news.has_value());
+        CPPUNIT_ASSERT(*news->changes[0].value == "b");
+        CPPUNIT_ASSERT(!news->changes[1].value);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{413}, news->revision);
+    }
+
+    void broken_store_answers_are_errors()
+    {
+        for (const char* text : {"", "{}", R"({"events":7,"current_rev":1})",
+                                 R"({"events":[{"key":"a","value":"%%","revision":1}],"current_rev":1})"})
+            CPPUNIT_ASSERT_MESSAGE(text, !platform::decode_watch(text));
+        CPPUNIT_ASSERT(!platform::decode_range_page(R"({"items":[]})"));
+    }
+
+    void request_headers_are_decoded()
+    {
+        const platform::site_dialect dialect;
+        http::request asked;
+        asked.lines = {{"Attempt-Id", "a1"},     {"Host", "h.example"},  {"Deadline-Ms", "1400"},
+                       {"Token-Count", "900,80"}, {"Length-Hint", "40"}, {"Last-Event-Id", "6"}};
+        const auto read = dialect.read_request(asked);
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT(*read->patience == 1'400ms);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{900}, read->prompt_tokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{80}, read->most_output_tokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{40}, read->likely_output_tokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{6}, *read->last_event);
+        asked.lines.erase(asked.lines.begin());
+        CPPUNIT_ASSERT(dialect.read_request(asked).error().kind == error_kind::bad_request);
+    }
+
+    void answers_are_judged()
+    {
+        using forward::answer_kind;
+        const platform::site_dialect dialect;
+        forward::caller_request asked;
+        asked.id = "a1";
+        const auto judge = [&](unsigned status, const http::headers& lines) {
+            return dialect.judge(asked, {status, lines, ""});
+        };
+        CPPUNIT_ASSERT(judge(200, {{"Attempt-Id", "a1"}, {"Server-Signature", "s"}}) == answer_kind::own);
+        CPPUNIT_ASSERT(judge(500, {{"Attempt-Id", "a1"}, {"Server-Signature", "s"}}) == answer_kind::own);
+        CPPUNIT_ASSERT(judge(200, {{"Attempt-Id", "a2"}, {"Server-Signature", "s"}}) == answer_kind::foreign);
+        CPPUNIT_ASSERT(judge(200, {{"Attempt-Id", "a1"}}) == answer_kind::broken);
+        CPPUNIT_ASSERT(judge(200, {{"Server-Signature", "s"}}) == answer_kind::broken);
+        CPPUNIT_ASSERT(judge(503, {{"Attempt-Id", "a1"}, {"Not-Executed", "1"}}) == answer_kind::not_run);
+        CPPUNIT_ASSERT(judge(421, {{"Instance-Id", "other"}}) == answer_kind::wrong_endpoint);
+        CPPUNIT_ASSERT(judge(200, {{"Attempt-Id", "a1"}, {"Server-Signature", "s"}, {"Content-Encoding", "gzip"}}) ==
+                       answer_kind::broken);
+    }
+
+    void refusals_say_when_to_come_back()
+    {
+        const platform::site_dialect dialect;
+        const error reason{error_kind::overloaded, "full", "later"};
+        const http::response answer = dialect.refusal("a1", reason, 250ms);
+        CPPUNIT_ASSERT_EQUAL(503U, answer.status);
+        CPPUNIT_ASSERT(http::find_header(answer.lines, "Retry-After") == "0.250");
+        CPPUNIT_ASSERT(http::find_header(answer.lines, "Server-Signature").empty());
+        CPPUNIT_ASSERT(http::find_header(dialect.refusal("a1", reason, std::nullopt).lines, "Retry-After").empty());
+    }
+
+    void connection_headers_stay_on_their_connection()
+    {
+        const platform::site_dialect dialect;
+        forward::caller_request asked;
+        asked.original.lines = {{"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"X-End", "2"}, {"Keep-Alive", "5"}};
+        const http::request call = dialect.whole_call(asked, {}, 100ms);
+        CPPUNIT_ASSERT(http::find_header(call.lines, "X-Hop").empty());
+        CPPUNIT_ASSERT(http::find_header(call.lines, "Connection").empty());
+        CPPUNIT_ASSERT(http::find_header(call.lines, "X-End") == "2");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_decoders);
+
+} // namespace
