--- a/src/broker/duty_messages.h
+++ b/src/broker/duty_messages.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "base/bounded_ring.h"
-#include "membership/member.h"
 #include "keyvalue/host_list_client.h"
+#include "membership/member.h"
 
 namespace radishstep {
 
--- a/src/forward/forward_config.cpp
+++ b/src/forward/forward_config.cpp
@@ -27,8 +27,9 @@
 
 const std::string& choose_service(const route& way, double draw)
 {
-    const unsigned total = std::accumulate(way.services.begin(), way.services.end(), 0U,
-                                           [](unsigned sum, const weighted_service& part) { return sum + part.weight; });
+    const unsigned total =
+        std::accumulate(way.services.begin(), way.services.end(), 0U,
+                        [](unsigned sum, const weighted_service& part) { return sum + part.weight; });
     double left = draw * total;
     for (const weighted_service& part : way.services) {
         if (left < part.weight)
--- a/src/forward/forward_server.cpp
+++ b/src/forward/forward_server.cpp
@@ -32,7 +32,8 @@
     const bool is_good = outcome.status > 0 && outcome.status < first_failure_status && outcome.cause.empty();
     count("radishstep_forward_requests_total",
           {{"kind", way.is_model ? "model" : "plain"}, {"status", std::to_string(outcome.status)}});
-    observe_seconds("radishstep_forward_request_seconds", to_ms(took) / 1'000, {{"kind", way.is_model ? "model" : "plain"}});
+    observe_seconds("radishstep_forward_request_seconds", to_ms(took) / 1'000,
+                    {{"kind", way.is_model ? "model" : "plain"}});
     const bool is_paused_long = way.pause_objective > milliseconds{0} && outcome.longest_pause > way.pause_objective;
     const bool is_late = outcome.first_after > way.objective || is_paused_long;
     if (is_late)
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -91,11 +91,9 @@
     auto metrics_listener = http::listen(this->io.get_executor(), this->settings.metrics_address());
     if (!metrics_listener)
         return tl::unexpected{metrics_listener.error()};
-    if (const auto opened = this->peers.open(this->settings.peer_address()); !opened)
+    if (auto opened = this->peers.open(this->settings.peer_address()); !opened)
         return opened;
-    const auto refuse = [this](const error& reason) {
-        return this->context.dialect.refusal("", reason, std::nullopt);
-    };
+    const auto refuse = [this](const error& reason) { return this->context.dialect.refusal("", reason, std::nullopt); };
     this->callers = std::make_unique<forward_server>(this->context, std::move(*callers_listener));
     this->readiness = std::make_unique<http::server>(
         std::move(*ready_listener), http::server_limits{},
@@ -245,7 +243,8 @@
     while (!this->is_stopping) {
         if (lease == 0 || this->must_register) {
             this->must_register = false;
-            const auto taken = co_await this->store.take_lease(std::max(registration_time, this->settings.shortest_lease));
+            const auto taken =
+                co_await this->store.take_lease(std::max(registration_time, this->settings.shortest_lease));
             if (taken) {
                 const std::string own_address = this->settings.peer_address();
                 const auto written = co_await this->store.put(hosts_prefix + this->settings.host, own_address, *taken);
--- a/src/forward/model_forward.cpp
+++ b/src/forward/model_forward.cpp
@@ -203,10 +203,9 @@
 
 void model_forward::log_call(std::string_view what, const endpoint& at, time_point sent, const error& reason) const
 {
-    log_decision(what, {{"request", this->hand.asked.id},
-                        {"endpoint", at.id},
-                        {"ms", ms_since(sent)},
-                        {"cause", describe(reason)}});
+    log_decision(
+        what,
+        {{"request", this->hand.asked.id}, {"endpoint", at.id}, {"ms", ms_since(sent)}, {"cause", describe(reason)}});
 }
 
 bool model_forward::has_kept_prompt() const
@@ -226,8 +225,8 @@
 {
     const time_point sent = runtime_clock::now();
     const milliseconds expected = this->context.chooser.reading_time(at, 0, sent);
-    const milliseconds usual{static_cast<milliseconds::rep>(
-        to_ms(expected) / this->context.health.pace(at.incarnation(), sent))};
+    const milliseconds usual{
+        static_cast<milliseconds::rep>(to_ms(expected) / this->context.health.pace(at.incarnation(), sent))};
     const auto limit = prefill_margin + milliseconds{static_cast<std::int64_t>(to_ms(expected) * prefill_factor)};
     http::call_options options;
     options.connect_time = std::min(connect_time, this->hand.watch.left());
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -43,11 +43,10 @@
 
 } // namespace
 
-peer_exchange::peer_exchange(asio::any_io_executor executor, std::string host, fleet_load& load,
+peer_exchange::peer_exchange(const asio::any_io_executor& executor, std::string host, fleet_load& load,
                              std::function<std::vector<waiting_head>()> heads)
     // The time of day makes the sequence grow over restarts; within a process only its order counts.
-    : socket(std::move(executor)), host(std::move(host)), load(load), heads(std::move(heads)),
-      sequence(wall_clock_ms())
+    : socket(executor), host(std::move(host)), load(load), heads(std::move(heads)), sequence(wall_clock_ms())
 {
 }
 
--- a/src/forward/peer_exchange.h
+++ b/src/forward/peer_exchange.h
@@ -31,7 +31,7 @@
     static constexpr int heartbeat_pauses = 3;
 
     /// `heads` returns the first request of each line of this host.
-    peer_exchange(boost::asio::any_io_executor executor, std::string host, fleet_load& load,
+    peer_exchange(const boost::asio::any_io_executor& executor, std::string host, fleet_load& load,
                   std::function<std::vector<waiting_head>()> heads);
 
     /// Binds the socket, or returns what is wrong with the address.
--- a/src/forward/plain_forward.cpp
+++ b/src/forward/plain_forward.cpp
@@ -24,7 +24,8 @@
             break;
         }
         if (this->arrivals > 0 && !this->context.budget.take(this->hand.service, runtime_clock::now())) {
-            this->failure = error{error_kind::overloaded, "the retry budget is spent", "come back after the given time"};
+            this->failure =
+                error{error_kind::overloaded, "the retry budget is spent", "come back after the given time"};
             break;
         }
         const next_step next = co_await this->send_to(this->chosen);
@@ -154,8 +155,7 @@
         this->outcome.cause = "caller_gone";
         co_return;
     }
-    this->outcome.first_after =
-        std::chrono::duration_cast<milliseconds>(runtime_clock::now() - this->hand.arrived);
+    this->outcome.first_after = std::chrono::duration_cast<milliseconds>(runtime_clock::now() - this->hand.arrived);
     if (this->answer) {
         http::response got = std::move(*this->answer);
         http::response head = this->context.dialect.caller_head(got);
@@ -165,8 +165,8 @@
         co_return;
     }
     const error reason = truthful_reason(*this->failure, this->runs > 0);
-    http::response refusal = this->context.dialect.refusal(
-        this->hand.asked.id, reason, come_back_after(this->runs > 0, this->hand.watch.left()));
+    http::response refusal = this->context.dialect.refusal(this->hand.asked.id, reason,
+                                                           come_back_after(this->runs > 0, this->hand.watch.left()));
     this->outcome.status = refusal.status;
     this->outcome.cause = reason.message;
     co_await this->hand.caller.send(std::move(refusal));
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -255,7 +255,8 @@
                 co_return lost(failure);
             part.assign(this->scratch.data(), this->scratch.size() - body.size);
         }
-        if (part.empty() && this->parser.keep_alive() && !this->options.fresh_connection && !std::exchange(this->returned, true))
+        if (part.empty() && this->parser.keep_alive() && !this->options.fresh_connection &&
+            !std::exchange(this->returned, true))
             this->pool->give_back(this->address, this->used);
         co_return part;
     }
--- a/tests/platform/platform_site.cpp
+++ b/tests/platform/platform_site.cpp
@@ -80,10 +80,17 @@
 
 json route(const std::string& prefix, const std::string& type, const std::string& service, int attempts)
 {
-    return {{"name", "route" + prefix},    {"host", "site.example"},     {"prefix", prefix},
-            {"type", type},                {"timeout_ms", 3'000},        {"target_latency_ms", 900},
-            {"priority", 1},               {"service", service},         {"max_attempts", attempts},
-            {"sticky", type == "streaming"}, {"resumable", prefix == "/resume/"}};
+    return {{"name", "route" + prefix},
+            {"host", "site.example"},
+            {"prefix", prefix},
+            {"type", type},
+            {"timeout_ms", 3'000},
+            {"target_latency_ms", 900},
+            {"priority", 1},
+            {"service", service},
+            {"max_attempts", attempts},
+            {"sticky", type == "streaming"},
+            {"resumable", prefix == "/resume/"}};
 }
 
 } // namespace
@@ -102,8 +109,8 @@
 platform_site::platform_site(int plain, int readers, int decoders)
     : callers_address(free_address()), ready_address(free_address()), work(asio::make_work_guard(this->io))
 {
-    this->folder = std::filesystem::temp_directory_path() / ("radishstep-site-" + std::to_string(::getpid()) + "-" +
-                                                             this->callers_address.substr(10));
+    this->folder = std::filesystem::temp_directory_path() /
+                   ("radishstep-site-" + std::to_string(::getpid()) + "-" + this->callers_address.substr(10));
     std::filesystem::create_directories(this->folder);
     const auto executor = this->io.get_executor();
     this->store = std::make_unique<standin_store>(executor);
@@ -141,8 +148,7 @@
         {"listen", {{"front", this->callers_address}, {"ready", this->ready_address}}},
         {"internal_ports", {peer_port, peer_port}},
         {"platform", {{"address", this->store->address()}, {"ttl_min_ms", 1'000}}},
-        {"bounds",
-         {{"retry_budget_ratio", 0.2}, {"budget_window_s", 10}, {"retry_budget_slack", 20}, {"grace_s", 8}}}};
+        {"bounds", {{"retry_budget_ratio", 0.2}, {"budget_window_s", 10}, {"retry_budget_slack", 20}, {"grace_s", 8}}}};
     std::ofstream{this->folder + "/node.json"} << settings.dump();
 }
 
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -58,8 +58,14 @@
 
 std::string standin_engine::entry(const std::string& state) const
 {
-    json document{{"service", this->service}, {"address", this->address()}, {"zone", "a"},     {"version", "v1"},
-                  {"slots", 6},               {"state", state},             {"sequence", 1},   {"cold_remaining_ms", 0},
+    json document{{"service", this->service},
+                  {"address", this->address()},
+                  {"zone", "a"},
+                  {"version", "v1"},
+                  {"slots", 6},
+                  {"state", state},
+                  {"sequence", 1},
+                  {"cold_remaining_ms", 0},
                   {"born", 1'700'000'000'000}};
     if (!this->phase.empty())
         document["phase"] = this->phase;
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -55,7 +55,8 @@
 {
 public:
     /// `phase` is "prefill", "decode" or "" for a plain endpoint.
-    standin_engine(const boost::asio::any_io_executor& executor, std::string id, std::string service, std::string phase);
+    standin_engine(const boost::asio::any_io_executor& executor, std::string id, std::string service,
+                   std::string phase);
 
     /// Returns what the engine writes into the store.
     std::string entry(const std::string& state = "ready") const;
--- a/tests/platform/standin_store.cpp
+++ b/tests/platform/standin_store.cpp
@@ -188,14 +188,15 @@
     for (const event& change : this->history) {
         if (change.revision <= after || !change.key.starts_with(prefix))
             continue;
-        if (change.now)
-            events.push_back({{"key", change.key},
-                              {"value", to_base64(change.now->value)},
-                              {"revision", change.revision},
-                              {"created", change.now->created},
-                              {"lease", change.now->lease}});
-        else
-            events.push_back({{"key", change.key}, {"revision", change.revision}, {"deleted", true}});
+        json row{{"key", change.key}, {"revision", change.revision}};
+        if (change.now) {
+            row["value"] = to_base64(change.now->value);
+            row["created"] = change.now->created;
+            row["lease"] = change.now->lease;
+        } else {
+            row["deleted"] = true;
+        }
+        events.push_back(row);
     }
     if (events.empty())
         return std::nullopt;
@@ -209,12 +210,13 @@
     const std::scoped_lock lock{this->mutex};
     json found = json::array();
     for (const auto& [key, entry] : this->items) {
-        if (key.starts_with(prefix))
-            found.push_back({{"key", key},
-                             {"value", to_base64(entry.value)},
-                             {"revision", entry.revision},
-                             {"created", entry.created},
-                             {"lease", entry.lease}});
+        if (!key.starts_with(prefix))
+            continue;
+        found.push_back({{"key", key},
+                         {"value", to_base64(entry.value)},
+                         {"revision", entry.revision},
+                         {"created", entry.created},
+                         {"lease", entry.lease}});
     }
     return json_of(ok, {{"items", found}, {"truncated", false}, {"current_rev", this->revision}});
 }
@@ -231,7 +233,8 @@
             return json_of(not_found, json::object());
     }
     for (const json& put : body.at("puts"))
-        this->write(put.at("key"), from_base64(put.at("value").get<std::string>()), put.value("lease", std::int64_t{0}));
+        this->write(put.at("key"), from_base64(put.at("value").get<std::string>()),
+                    put.value("lease", std::int64_t{0}));
     return json_of(ok, {{"revision", this->revision}});
 }
 
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -74,11 +74,12 @@
 
     void entries_of_other_writers_name_no_endpoint()
     {
-        for (const char* text : {"", "no json", R"([1])", R"({"service":"llm"})",
-                                 R"({"service":"llm","address":7,"zone":"a","slots":1,"state":"ready"})",
-                                 R"({"service":"llm","address":"1.2.3.4:5","zone":"a","slots":1,"state":"resting"})",
-                                 R"({"service":"llm","address":"1.2.3.4:5","zone":"a","slots":"six","state":"ready"})",
-                                 R"({"service":"l","address":"1.2.3.4:5","zone":"a","slots":1,"state":"ready","born":"x"})"})
+        for (const char* text :
+             {"", "no json", R"([1])", R"({"service":"llm"})",
+              R"({"service":"llm","address":7,"zone":"a","slots":1,"state":"ready"})",
+              R"({"service":"llm","address":"1.2.3.4:5","zone":"a","slots":1,"state":"resting"})",
+              R"({"service":"llm","address":"1.2.3.4:5","zone":"a","slots":"six","state":"ready"})",
+              R"({"service":"l","address":"1.2.3.4:5","zone":"a","slots":1,"state":"ready","born":"x"})"})
             CPPUNIT_ASSERT_MESSAGE(text, !platform::decode_endpoint("servers/i-1", text));
     }
 
@@ -111,7 +112,7 @@
     {
         const platform::site_dialect dialect;
         http::request asked;
-        asked.lines = {{"Attempt-Id", "a1"},     {"Host", "h.example"},  {"Deadline-Ms", "1400"},
+        asked.lines = {{"Attempt-Id", "a1"},      {"Host", "h.example"}, {"Deadline-Ms", "1400"},
                        {"Token-Count", "900,80"}, {"Length-Hint", "40"}, {"Last-Event-Id", "6"}};
         const auto read = dialect.read_request(asked);
         CPPUNIT_ASSERT(read.has_value());
--- a/tests/platform/test_plain_answers.cpp
+++ b/tests/platform/test_plain_answers.cpp
@@ -71,8 +71,8 @@
 
     void broken_answers_never_reach_the_caller()
     {
-        for (const engine_fault fault : {engine_fault::cut_body, engine_fault::wrong_id, engine_fault::no_signature,
-                                         engine_fault::encoded}) {
+        for (const engine_fault fault :
+             {engine_fault::cut_body, engine_fault::wrong_id, engine_fault::no_signature, engine_fault::encoded}) {
             this->set_fault_everywhere(fault);
             const site_answer got = this->call("/once/1");
             CPPUNIT_ASSERT_EQUAL_MESSAGE("fault " + std::to_string(static_cast<int>(fault)), 502U, got.status);
@@ -125,7 +125,7 @@
         site_request wish;
         wish.path = "/plain/1?q=%20x";
         wish.body = "as it is";
-        wish.more = {{"Kv-Hold", "h"},       {"Kv-Source", "1.2.3.4:5/h"}, {"Pin-Ms", "4000"}, {"Kv-Backup", "1.2.3.4:5"},
+        wish.more = {{"Kv-Hold", "h"},  {"Kv-Source", "1.2.3.4:5/h"}, {"Pin-Ms", "4000"}, {"Kv-Backup", "1.2.3.4:5"},
                      {"X-Kept", "yes"}, {"Serving-Phase", "prefill"}};
         CPPUNIT_ASSERT_EQUAL(200U, this->site->call(wish).status);
         for (const auto& [id, engine] : this->site->engines) {
--- a/tests/platform/test_store_and_stops.cpp
+++ b/tests/platform/test_store_and_stops.cpp
@@ -152,7 +152,8 @@
     {
         this->start();
         this->site->store->set_fault(store_fault::reset);
-        CPPUNIT_ASSERT(wait_until([this] { return this->site->log().find("keyvalue_lost prefix=servers/") != std::string::npos; }));
+        CPPUNIT_ASSERT(wait_until(
+            [this] { return this->site->log().find("keyvalue_lost prefix=servers/") != std::string::npos; }));
         for (const auto& [id, engine] : this->site->engines)
             this->site->store->remove(engine->key());
         this->site->store->set_fault(store_fault::none);
@@ -161,7 +162,8 @@
             std::this_thread::sleep_for(50ms);
         }
         this->site->store->put(this->site->engine("p1").key(), this->site->engine("p1").entry());
-        CPPUNIT_ASSERT(wait_until([this] { return this->site->log().find("state=endpoint_gone endpoint=p0") != std::string::npos; }, 5s));
+        CPPUNIT_ASSERT(wait_until(
+            [this] { return this->site->log().find("state=endpoint_gone endpoint=p0") != std::string::npos; }, 5s));
         CPPUNIT_ASSERT_EQUAL(200U, this->status_of("/plain/1"));
     }
 
@@ -194,7 +196,8 @@
     {
         this->start();
         this->site->gateway->signal(SIGHUP);
-        CPPUNIT_ASSERT(wait_until([this] { return this->site->log().find("state=settings_applied") != std::string::npos; }));
+        CPPUNIT_ASSERT(
+            wait_until([this] { return this->site->log().find("state=settings_applied") != std::string::npos; }));
         CPPUNIT_ASSERT_EQUAL(200U, this->status_of("/plain/1"));
         CPPUNIT_ASSERT(this->site->is_ready());
     }
