--- a/src/forward/endpoint_chooser.cpp
+++ b/src/forward/endpoint_chooser.cpp
@@ -176,8 +176,8 @@
 {
     const endpoint_load there = this->load.at(at.incarnation(), now);
     const std::int64_t free_slots = at.slots - there.calls;
-    const std::int64_t each = demand.prompt_memory() + growth_tokens;
-    const std::int64_t free_tokens = demand.memory_tokens - there.tokens - growth_tokens * there.calls;
+    const std::int64_t each = demand.prompt_memory();
+    const std::int64_t free_tokens = demand.memory_tokens - there.tokens - growth_reserve;
     const std::int64_t room = std::min(free_slots, free_tokens / std::max<std::int64_t>(each, 1));
     // An idle engine takes any prompt, or says itself that it is too long.
     const std::int64_t least = there.calls == 0 ? 1 : 0;
--- a/src/forward/endpoint_chooser.h
+++ b/src/forward/endpoint_chooser.h
@@ -70,9 +70,10 @@
     static constexpr milliseconds own_reading_penalty{250};
     /// What a request costs a prefill engine before its prompt is read.
     static constexpr milliseconds reading_start{50};
-    /// Memory kept free for each running stream: what its answer grows by in about a second, within which
-    /// some other stream ends and gives its memory back.
-    static constexpr std::int64_t growth_tokens = 272;
+    /// Tokens of an engine's memory that are kept free for answers to grow. Streams make about 270 tokens a
+    /// second for about 3.6 s, so that n of them grow by 970 tokens between two ends, whatever n is; three
+    /// such spans pass without an end once in twenty times.
+    static constexpr std::int64_t growth_reserve = 2'900;
 
     endpoint_chooser(const endpoint_directory& directory, const fleet_load& load, const endpoint_health& health,
                      std::string zone);
