Change surplus prefill engines to decode; add the fault soak

Change: one host at a time holds a key under a lease and orders surplus readers to decode, with the key's revision as fencing token; an engine that changes counts as full on all hosts meanwhile. A lease renewal that succeeds after a failed one now ends waiting watches; the case has a test of its own.

--- a/src/forward/endpoint_health.cpp
+++ b/src/forward/endpoint_health.cpp
@@ -24,7 +24,8 @@
     record_of& known = this->records[incarnation];
     known.last = now;
     if (outcome == call_outcome::rejected) {
-        known.avoided_until = std::max(known.avoided_until, now + full_avoidance);
+        known.avoided_until = std::max(known.avoided_until, now + known.next_full_avoidance);
+        known.next_full_avoidance = std::min(known.next_full_avoidance * 2, longest_full_avoidance);
         return;
     }
     const double newest = outcome == call_outcome::answered ? 0 : 1;
@@ -32,6 +33,7 @@
     known.failures_at = now;
     if (outcome == call_outcome::answered) {
         known.next_avoidance = first_avoidance;
+        known.next_full_avoidance = full_avoidance;
         return;
     }
     if (outcome == call_outcome::unreachable || outcome == call_outcome::lost) {
--- a/src/forward/endpoint_health.h
+++ b/src/forward/endpoint_health.h
@@ -17,8 +17,10 @@
     /// How long an endpoint is avoided after it could not be reached; doubles up to the longest.
     static constexpr milliseconds first_avoidance{400};
     static constexpr milliseconds longest_avoidance{3'000};
-    /// How long an endpoint that was full is avoided: about the time of one call.
+    /// How long an endpoint that was full is avoided: about the time of one call, doubled with each further
+    /// rejection up to a second, since each costs a part of the retry budget.
     static constexpr milliseconds full_avoidance{60};
+    static constexpr milliseconds longest_full_avoidance{960};
     /// Weight of the newest outcome in the failure share.
     static constexpr double newest_weight = 0.2;
     /// Failure share from which an endpoint is avoided while others do better.
@@ -49,6 +51,7 @@
     {
         time_point avoided_until;
         milliseconds next_avoidance = first_avoidance;
+        milliseconds next_full_avoidance = full_avoidance;
         double failures = 0;
         time_point failures_at;
         double slowness = 1;
--- a/src/forward/forward_config.h
+++ b/src/forward/forward_config.h
@@ -57,6 +57,8 @@
     std::int64_t tokens_per_event = 1;
     /// How long a prefill result is kept for the decode engine that fetches it.
     milliseconds prefill_lifetime{500};
+    /// How long an engine is away when its phase changes.
+    milliseconds phase_change_time{6'000};
 
     bool operator==(const service&) const = default;
 };
--- a/src/forward/forward_dialect.h
+++ b/src/forward/forward_dialect.h
@@ -75,6 +75,10 @@
     /// Returns the call that frees a prefill result that nobody will fetch.
     virtual http::request release_call(const prefill_result& read) const = 0;
 
+    /// Returns the order that has an engine change its phase, given by `holder` under a fencing token.
+    virtual http::request phase_order(const endpoint& at, endpoint_phase phase, const std::string& holder,
+                                      std::int64_t token) const = 0;
+
     /// Returns what the head of an answer says.
     virtual answer_kind judge(const caller_request& asked, const http::response& head) const = 0;
 
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -18,12 +18,13 @@
 
 namespace {
 
-/// Under which hosts register themselves.
+/// Everything that the gateways write, and under which of it hosts register themselves.
+constexpr const char* own_prefix = "radishstep/";
 constexpr const char* hosts_prefix = "radishstep/hosts/";
 
 /// How long a host counts after its last word to the key-value service.
 constexpr milliseconds registration_time{9'000};
-constexpr milliseconds renewal_time{3'000};
+constexpr milliseconds renewal_time{2'000};
 constexpr milliseconds registration_pause{500};
 
 /// How often endpoints that vanished during an outage are looked through, and old records dropped.
@@ -72,7 +73,7 @@
       context(io.get_executor(), dialect, this->settings.zone),
       peers(io.get_executor(), this->settings.host, this->context.load,
             [this] { return this->context.waiting_heads(); }),
-      signals(io, SIGTERM, SIGINT, SIGHUP)
+      phases(this->context, this->store, this->settings), signals(io, SIGTERM, SIGINT, SIGHUP)
 {
     this->context.budget.configure(this->settings.retries, unknown_hosts);
     this->context.on_load_change = [this](bool is_urgent) { this->peers.note_change(is_urgent); };
@@ -112,6 +113,7 @@
     spawn(this->io, this->peers.send_reports());
     spawn(this->io, this->peers.receive_reports());
     spawn(this->io, this->stay_registered());
+    spawn(this->io, this->phases.run());
     spawn(this->io, this->keep_house());
     spawn(this->io, this->follow_settings());
     spawn(this->io, this->wait_for_signals());
@@ -150,15 +152,16 @@
     prefix_hooks peers;
     peers.on_all = [this](const std::vector<stored_change>& items) {
         this->hosts.clear();
+        this->phases.note_holder(false);
         for (const stored_change& item : items)
-            this->take_host(item);
+            this->take_own(item);
     };
-    peers.on_change = [this](const stored_change& change) { this->take_host(change); };
+    peers.on_change = [this](const stored_change& change) { this->take_own(change); };
     peers.on_lost = nothing;
     peers.on_regained = nothing;
     this->watches.push_back(std::make_unique<watched_prefix>(this->store, this->documents.config_key, config));
     this->watches.push_back(std::make_unique<watched_prefix>(this->store, this->documents.endpoints_prefix, endpoints));
-    this->watches.push_back(std::make_unique<watched_prefix>(this->store, hosts_prefix, peers));
+    this->watches.push_back(std::make_unique<watched_prefix>(this->store, own_prefix, peers));
     for (const auto& watch : this->watches)
         spawn(this->io, watch->run());
 }
@@ -223,6 +226,14 @@
     this->has_endpoints = true;
 }
 
+void gateway::take_own(const stored_change& change)
+{
+    if (change.key == phase_duty::holder_key)
+        this->phases.note_holder(change.value.has_value());
+    if (change.key.starts_with(hosts_prefix))
+        this->take_host(change);
+}
+
 void gateway::take_host(const stored_change& change)
 {
     const std::string host = change.key.substr(std::string_view{hosts_prefix}.size());
@@ -240,6 +251,7 @@
 asio::awaitable<void> gateway::stay_registered()
 {
     std::int64_t lease = 0;
+    bool was_unanswered = false;
     while (!this->is_stopping) {
         if (lease == 0 || this->must_register) {
             this->must_register = false;
@@ -258,6 +270,12 @@
         }
         co_await pause_for(renewal_time);
         const auto renewed = co_await this->store.renew_lease(lease);
+        if (renewed && std::exchange(was_unanswered, false)) {
+            log_state("watches_renewed", {{"cause", "the key-value service answers again"}});
+            this->store.drop_watches();
+        }
+        if (!renewed && !std::exchange(was_unanswered, true))
+            log_problem("renewal_failed", {{"cause", describe(renewed.error())}});
         if (renewed && !*renewed) {
             log_problem("registration_ended", {{"lease", std::to_string(lease)}});
             lease = 0;
@@ -323,6 +341,7 @@
 asio::awaitable<void> gateway::stop_gracefully()
 {
     const time_point until = runtime_clock::now() + this->settings.grace - stop_margin;
+    this->phases.stop();
     this->callers->send_callers_away();
     co_await pause_for(std::min(readiness_time, this->settings.grace / 2));
     this->callers->stop_accepting();
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -12,6 +12,7 @@
 #include "forward/forward_server.h"
 #include "forward/gateway_settings.h"
 #include "forward/peer_exchange.h"
+#include "forward/phase_duty.h"
 #include "keyvalue/key_value_source.h"
 #include "keyvalue/watched_prefix.h"
 
@@ -49,6 +50,7 @@
     void take_config(const stored_change& change);
     void take_endpoint(const stored_change& change);
     void take_all_endpoints(const std::vector<stored_change>& items);
+    void take_own(const stored_change& change);
     void take_host(const stored_change& change);
     void apply_settings(const gateway_settings& next);
     boost::asio::awaitable<void> stay_registered();
@@ -63,6 +65,7 @@
     site_documents documents;
     forward_context context;
     peer_exchange peers;
+    phase_duty phases;
     std::unique_ptr<forward_server> callers;
     std::unique_ptr<http::server> readiness;
     std::unique_ptr<http::server> metrics;
--- /dev/null
+++ b/src/forward/phase_balance.cpp
@@ -0,0 +1,58 @@
+#include "forward/phase_balance.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace radishstep::forward {
+
+namespace {
+
+/// What a stream holds on average: a prompt of 3,200 tokens and half of its answer, from the users' sheets.
+constexpr double stream_tokens = 3'700;
+/// How long a stream holds it, from the sheets' 72 events of 13 tokens at 3.7 ms a token.
+constexpr double stream_seconds = 3.6;
+/// How long such a prompt keeps a prefill engine: 3,200 tokens at 33 a millisecond.
+constexpr double reading_seconds = 0.096;
+/// Share of its time that a prefill engine may be busy while the decode engines are full; above it
+/// prompts wait for each other.
+constexpr double reading_share = 0.7;
+/// Two, so that the loss of one does not leave all prompts to the decode engines.
+constexpr int least_readers = 2;
+
+bool is_among(const std::vector<std::string>& names, const std::string& name)
+{
+    return std::ranges::find(names, name) != names.end();
+}
+
+} // namespace
+
+int wanted_readers(int engines, std::int64_t memory_tokens)
+{
+    const double streams = static_cast<double>(memory_tokens) / stream_tokens;
+    const double readers_per_decoder = streams / stream_seconds * reading_seconds / reading_share;
+    const double wanted = engines * readers_per_decoder / (1 + readers_per_decoder);
+    return std::max(static_cast<int>(std::ceil(wanted)), least_readers);
+}
+
+std::optional<endpoint> surplus_reader(const std::vector<const endpoint*>& engines,
+                                       const std::vector<std::string>& changing, std::int64_t memory_tokens)
+{
+    std::vector<const endpoint*> readers;
+    int all = 0;
+    for (const endpoint* engine : engines) {
+        if (engine->phase == endpoint_phase::whole)
+            continue;
+        ++all;
+        if (engine->phase == endpoint_phase::prefill && !is_among(changing, engine->incarnation()))
+            readers.push_back(engine);
+    }
+    if (static_cast<int>(readers.size()) <= wanted_readers(all, memory_tokens))
+        return std::nullopt;
+    // The zone with most readers gives one up, so that each zone keeps some as long as possible.
+    const auto readers_in = [&readers](const std::string& zone) {
+        return std::ranges::count_if(readers, [&zone](const endpoint* reader) { return reader->zone == zone; });
+    };
+    return **std::ranges::max_element(readers, {}, [&](const endpoint* reader) { return readers_in(reader->zone); });
+}
+
+} // namespace radishstep::forward
--- a/src/keyvalue/key_value_source.h
+++ b/src/keyvalue/key_value_source.h
@@ -56,12 +56,19 @@
     virtual boost::asio::awaitable<result<stored_news>> watch(std::string prefix, std::int64_t revision,
                                                               milliseconds wait) = 0;
 
+    /// Has all waiting watches fail. A service that fell silent and came back may never answer them.
+    virtual void drop_watches() = 0;
+
     /// Returns a new lease that lasts for `span` from each renewal.
     virtual boost::asio::awaitable<result<std::int64_t>> take_lease(milliseconds span) = 0;
 
     /// Renews a lease; returns false when it has ended.
     virtual boost::asio::awaitable<result<bool>> renew_lease(std::int64_t lease) = 0;
 
+    /// Creates a key under a lease; returns its revision, or nothing when the key exists or the lease has ended.
+    virtual boost::asio::awaitable<result<std::optional<std::int64_t>>> create(std::string key, std::string value,
+                                                                               std::int64_t lease) = 0;
+
     /// Writes a key under a lease; returns false when the lease has ended.
     virtual boost::asio::awaitable<result<bool>> put(std::string key, std::string value, std::int64_t lease) = 0;
 };
--- a/tests/forward/test_choices.cpp
+++ b/tests/forward/test_choices.cpp
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "forward/endpoint_chooser.h"
+#include "forward/phase_balance.h"
 
 namespace {
 
@@ -35,6 +36,8 @@
     CPPUNIT_TEST(prompt_is_read_in_the_zone_of_its_decode_engine);
     CPPUNIT_TEST(decode_engine_reads_itself_when_no_prefill_engine_is_left);
     CPPUNIT_TEST(crest_two_hosts_do_not_take_the_same_freed_place);
+    CPPUNIT_TEST(surplus_readers_are_given_up_zone_by_zone);
+    CPPUNIT_TEST(rejections_in_a_row_are_avoided_longer);
     CPPUNIT_TEST(crest_plain_calls_leave_slots_to_those_that_wait_longer);
     CPPUNIT_TEST_SUITE_END();
 
@@ -176,6 +179,31 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"none"}, this->plain(2));
     }
 
+    // Pattern: prefill engines idle at crests while decode engines are full.
+    void surplus_readers_are_given_up_zone_by_zone()
+    {
+        for (int i = 0; i < 5; ++i)
+            this->add(make_endpoint("r" + std::to_string(i), "llm", endpoint_phase::prefill, 128, i < 3 ? "a" : "b"));
+        for (int i = 0; i < 7; ++i)
+            this->add(make_endpoint("d" + std::to_string(i), "llm", endpoint_phase::decode, 128));
+        const auto engines = this->directory.usable("llm");
+        const auto first = surplus_reader(engines, {}, 38'411);
+        CPPUNIT_ASSERT(first.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"a"}, first->zone);
+        CPPUNIT_ASSERT_EQUAL(4, wanted_readers(12, 38'411));
+        CPPUNIT_ASSERT(!surplus_reader(engines, {first->incarnation()}, 38'411));
+    }
+
+    void rejections_in_a_row_are_avoided_longer()
+    {
+        for (int i = 0; i < 5; ++i)
+            this->health.record("r0@0", call_outcome::rejected, this->now);
+        CPPUNIT_ASSERT(this->health.is_avoided("r0@0", this->now + 900ms));
+        this->health.record("r0@0", call_outcome::answered, this->now + 1s);
+        this->health.record("r0@0", call_outcome::rejected, this->now + 1s);
+        CPPUNIT_ASSERT(!this->health.is_avoided("r0@0", this->now + 1'100ms));
+    }
+
 private:
     endpoint_directory directory;
     fleet_load load;
--- a/tests/platform/platform_site.cpp
+++ b/tests/platform/platform_site.cpp
@@ -38,6 +38,23 @@
     return "127.0.0.1:" + std::to_string(listener.local_endpoint().port());
 }
 
+json route(const std::string& prefix, const std::string& type, const std::string& service, int attempts)
+{
+    return {{"name", "route" + prefix},
+            {"host", "site.example"},
+            {"prefix", prefix},
+            {"type", type},
+            {"timeout_ms", 3'000},
+            {"target_latency_ms", 900},
+            {"priority", 1},
+            {"service", service},
+            {"max_attempts", attempts},
+            {"sticky", type == "streaming"},
+            {"resumable", prefix == "/resume/"}};
+}
+
+} // namespace
+
 asio::awaitable<site_answer> call_gateway(std::string address, site_request wish)
 {
     constexpr std::chrono::seconds longest_call{20};
@@ -71,6 +88,8 @@
     beast::http::response_parser<beast::http::string_body> parser;
     co_await beast::http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
     got.is_whole = !failure;
+    if (!parser.is_header_done())
+        co_return got;
     got.status = parser.get().result_int();
     for (const auto& field : parser.get())
         got.lines.push_back({std::string{field.name_string()}, std::string{field.value()}});
@@ -78,23 +97,6 @@
     co_return got;
 }
 
-json route(const std::string& prefix, const std::string& type, const std::string& service, int attempts)
-{
-    return {{"name", "route" + prefix},
-            {"host", "site.example"},
-            {"prefix", prefix},
-            {"type", type},
-            {"timeout_ms", 3'000},
-            {"target_latency_ms", 900},
-            {"priority", 1},
-            {"service", service},
-            {"max_attempts", attempts},
-            {"sticky", type == "streaming"},
-            {"resumable", prefix == "/resume/"}};
-}
-
-} // namespace
-
 bool wait_until(const std::function<bool()>& holds, milliseconds span)
 {
     const auto until = std::chrono::steady_clock::now() + span;
@@ -106,11 +108,14 @@
     return holds();
 }
 
-platform_site::platform_site(int plain, int readers, int decoders)
-    : callers_address(free_address()), ready_address(free_address()), work(asio::make_work_guard(this->io))
+platform_site::platform_site(int plain, int readers, int decoders, int host_count)
+    : work(asio::make_work_guard(this->io))
 {
-    this->folder = std::filesystem::temp_directory_path() /
-                   ("radishstep-site-" + std::to_string(::getpid()) + "-" + this->callers_address.substr(10));
+    for (int i = 1; i <= host_count; ++i)
+        this->hosts.push_back({free_address(), free_address(), "host-" + std::to_string(i), std::nullopt});
+    const std::string port = this->callers_address().substr(this->callers_address().rfind(':') + 1);
+    this->folder =
+        std::filesystem::temp_directory_path() / ("radishstep-site-" + std::to_string(::getpid()) + "-" + port);
     std::filesystem::create_directories(this->folder);
     const auto executor = this->io.get_executor();
     this->store = std::make_unique<standin_store>(executor);
@@ -124,53 +129,61 @@
     add("r", readers, "llm", "prefill");
     add("d", decoders, "llm", "decode");
     this->thread = std::thread{[this] { this->io.run(); }};
-    this->write_settings();
+    for (const host_of_site& host : this->hosts)
+        this->write_settings(host);
     this->write_config(1);
     this->announce_engines();
 }
 
 platform_site::~platform_site()
 {
-    this->gateway.reset();
+    for (host_of_site& host : this->hosts)
+        host.gateway.reset();
     this->io.stop();
     this->thread.join();
     std::filesystem::remove_all(this->folder);
 }
 
-void platform_site::write_settings()
+std::string platform_site::file_of(std::size_t host, const std::string& ending) const
+{
+    return this->folder + "/" + this->hosts[host].name + ending;
+}
+
+void platform_site::write_settings(const host_of_site& host) const
 {
     const std::string peers = free_address();
     const int peer_port = std::stoi(peers.substr(peers.rfind(':') + 1));
     const json settings{
-        {"node_name", "host-1"},
+        {"node_name", host.name},
         {"zone", "a"},
         {"ip", "127.0.0.1"},
-        {"listen", {{"front", this->callers_address}, {"ready", this->ready_address}}},
+        {"listen", {{"front", host.callers_address}, {"ready", host.ready_address}}},
         {"internal_ports", {peer_port, peer_port}},
         {"platform", {{"address", this->store->address()}, {"ttl_min_ms", 1'000}}},
         {"bounds", {{"retry_budget_ratio", 0.2}, {"budget_window_s", 10}, {"retry_budget_slack", 20}, {"grace_s", 8}}}};
-    std::ofstream{this->folder + "/node.json"} << settings.dump();
+    std::ofstream{this->folder + "/" + host.name + ".json"} << settings.dump();
 }
 
-void platform_site::start_gateway()
+void platform_site::start_gateway(std::size_t host)
 {
-    this->gateway.emplace("radishstep-gateway", std::vector<std::string>{"--settings=" + this->folder + "/node.json"},
-                          this->folder + "/gateway.log");
+    this->hosts[host].gateway.emplace("radishstep-gateway",
+                                      std::vector<std::string>{"--settings=" + this->file_of(host, ".json")},
+                                      this->file_of(host, ".log"));
 }
 
-bool platform_site::is_ready()
+bool platform_site::is_ready(std::size_t host)
 {
     constexpr unsigned ok = 200;
     site_request question;
     question.method = "GET";
     question.path = "/readyz";
     question.body.clear();
-    return this->calls.wait(call_gateway(this->ready_address, question)).status == ok;
+    return this->calls.wait(call_gateway(this->hosts[host].ready_address, question)).status == ok;
 }
 
-bool platform_site::wait_ready(milliseconds span)
+bool platform_site::wait_ready(milliseconds span, std::size_t host)
 {
-    return wait_until([this] { return this->is_ready(); }, span);
+    return wait_until([this, host] { return this->is_ready(host); }, span);
 }
 
 void platform_site::write_config(int version, const std::string& extra_prefix)
@@ -204,12 +217,12 @@
 
 site_answer platform_site::call(const site_request& wish)
 {
-    return this->calls.wait(call_gateway(this->callers_address, wish));
+    return this->calls.wait(call_gateway(this->callers_address(), wish));
 }
 
-std::string platform_site::log() const
+std::string platform_site::log(std::size_t host) const
 {
-    std::ifstream file{this->folder + "/gateway.log"};
+    std::ifstream file{this->file_of(host, ".log")};
     return {std::istreambuf_iterator<char>{file}, {}};
 }
 
--- a/tests/platform/platform_site.h
+++ b/tests/platform/platform_site.h
@@ -44,19 +44,25 @@
 class platform_site
 {
 public:
-    explicit platform_site(int plain = 2, int readers = 1, int decoders = 2);
+    explicit platform_site(int plain = 2, int readers = 1, int decoders = 2, int hosts = 1);
     ~platform_site();
     platform_site(const platform_site&) = delete;
     platform_site& operator=(const platform_site&) = delete;
 
-    /// Starts the gateway without waiting for it to be ready.
-    void start_gateway();
+    /// Starts a host's gateway without waiting for it to be ready.
+    void start_gateway(std::size_t host = 0);
+
+    /// Returns a host's gateway, if it was started.
+    std::optional<process>& gateway(std::size_t host = 0) { return this->hosts[host].gateway; }
+
+    /// Returns where a host's gateway takes callers, as "IP:port".
+    const std::string& callers_address(std::size_t host = 0) const { return this->hosts[host].callers_address; }
 
     /// Waits until the gateway says that it is ready; returns whether it did within `span`.
-    bool wait_ready(milliseconds span = milliseconds{5'000});
+    bool wait_ready(milliseconds span = milliseconds{5'000}, std::size_t host = 0);
 
     /// Returns whether the gateway says that it is ready.
-    bool is_ready();
+    bool is_ready(std::size_t host = 0);
 
     /// Writes the configuration: routes /plain/ (idempotent), /once/ (not), /stream/ and /resume/.
     void write_config(int version, const std::string& extra_prefix = "");
@@ -64,30 +70,40 @@
     /// Writes all engines' entries.
     void announce_engines();
 
-    /// Makes one call to the gateway.
+    /// Makes one call to the first host's gateway.
     site_answer call(const site_request& wish);
 
-    /// Returns the log of the gateway so far.
-    std::string log() const;
+    /// Returns the log of a host's gateway so far.
+    std::string log(std::size_t host = 0) const;
 
     standin_engine& engine(const std::string& id);
 
     boost::asio::io_context io;
     std::unique_ptr<standin_store> store;
     std::vector<std::pair<std::string, std::unique_ptr<standin_engine>>> engines;
-    std::optional<process> gateway;
-    std::string callers_address;
 
 private:
-    void write_settings();
-
+    struct host_of_site
+    {
+        std::string callers_address;
+        std::string ready_address;
+        std::string name;
+        std::optional<process> gateway;
+    };
+
+    void write_settings(const host_of_site& host) const;
+    std::string file_of(std::size_t host, const std::string& ending) const;
+
+    std::vector<host_of_site> hosts;
     std::string folder;
-    std::string ready_address;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     std::thread thread;
     caller calls;
 };
 
+/// Makes one call to the gateway at `address`.
+boost::asio::awaitable<site_answer> call_gateway(std::string address, site_request wish);
+
 /// Waits until `holds` returns true; returns whether it did within `span`.
 bool wait_until(const std::function<bool()>& holds, milliseconds span = milliseconds{3'000});
 
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -31,6 +31,17 @@
     return http_answer(misdirected, {{"Instance-Id", "another"}}, "");
 }
 
+/// Counts a call for as long as it is worked on.
+struct active_guard
+{
+    explicit active_guard(std::atomic<int>& active) : active(active) { ++this->active; }
+    ~active_guard() { --this->active; }
+    active_guard(const active_guard&) = delete;
+    active_guard& operator=(const active_guard&) = delete;
+
+    std::atomic<int>& active;
+};
+
 std::string chunk(const std::string& bytes)
 {
     std::array<char, 16> size{};
@@ -59,7 +70,7 @@
 std::string standin_engine::entry(const std::string& state) const
 {
     json document{{"service", this->service},
-                  {"address", this->address()},
+                  {"address", this->announced.empty() ? this->address() : this->announced},
                   {"zone", "a"},
                   {"version", "v1"},
                   {"slots", 6},
@@ -99,7 +110,8 @@
 std::size_t standin_engine::note(const http::request& asked, const std::string& kind)
 {
     const std::scoped_lock lock{this->mutex};
-    this->all_calls.push_back({std::string{http::find_header(asked.lines, "Attempt-Id")}, kind, asked});
+    this->all_calls.push_back(
+        {std::string{http::find_header(asked.lines, "Attempt-Id")}, kind, asked, false, false, runtime_clock::now()});
     return this->all_calls.size() - 1;
 }
 
@@ -138,6 +150,11 @@
 {
     const std::string wanted{http::find_header(asked.lines, "Expect-Instance")};
     const bool is_prefill = http::find_header(asked.lines, "Serving-Phase") == "prefill";
+    if (asked.path() == "/order") {
+        this->note(asked, "order");
+        constexpr unsigned accepted = 202;
+        co_return co_await caller.write(http_answer(accepted, {}, ""));
+    }
     const std::size_t call = this->note(asked, is_prefill ? "prefill" : this->phase);
     const engine_fault now = this->current_fault();
     const bool is_other = now == engine_fault::other_instance || (!wanted.empty() && wanted != this->id);
@@ -158,6 +175,7 @@
 
 asio::awaitable<bool> standin_engine::work(std::size_t call, raw_connection& caller)
 {
+    const active_guard working{this->active_calls};
     milliseconds left{0};
     {
         const std::scoped_lock lock{this->mutex};
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <string>
@@ -47,6 +48,7 @@
     http::request asked;
     bool has_run = false;
     bool caller_left = false;
+    time_point at;
 };
 
 /// A stand-in of one engine or plain endpoint of the platform. Runs on one executor; the functions for
@@ -61,6 +63,9 @@
     /// Returns what the engine writes into the store.
     std::string entry(const std::string& state = "ready") const;
 
+    /// Has the entry name another address, such as a proxy's.
+    void announce_as(const std::string& address) { this->announced = address; }
+
     std::string key() const { return "servers/" + this->id; }
     std::string address() const { return this->server.address(); }
 
@@ -71,6 +76,9 @@
     /// Returns all calls so far.
     std::vector<engine_call> calls() const;
 
+    /// Returns how many calls the engine works on now.
+    int active() const { return this->active_calls; }
+
     /// Returns how many calls have run.
     int runs() const;
 
@@ -95,10 +103,12 @@
     std::string id;
     std::string service;
     std::string phase;
+    std::string announced;
     mutable std::mutex mutex;
     engine_fault fault = engine_fault::none;
     milliseconds work_time{5};
     std::vector<engine_call> all_calls;
+    std::atomic<int> active_calls = 0;
     raw_server server;
 };
 
--- a/tests/platform/standin_store.cpp
+++ b/tests/platform/standin_store.cpp
@@ -227,6 +227,13 @@
     constexpr unsigned not_found = 404;
     const json body = json::parse(asked.body);
     const std::scoped_lock lock{this->mutex};
+    for (const json& row : body.value("precondition", json::array())) {
+        constexpr unsigned condition_failed = 412;
+        const auto found = this->items.find(row.at("key"));
+        const std::int64_t current = found == this->items.end() ? 0 : found->second.revision;
+        if (current != row.at("revision"))
+            return json_of(condition_failed, {{"items", json::array()}});
+    }
     for (const json& put : body.at("puts")) {
         const std::int64_t lease = put.value("lease", std::int64_t{0});
         if (lease != 0 && !this->leases.contains(lease))
--- a/tests/platform/test_store_and_stops.cpp
+++ b/tests/platform/test_store_and_stops.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(unknown_route_is_answered_404);
     CPPUNIT_TEST(change_behind_a_deaf_watch_is_found);
     CPPUNIT_TEST(lost_history_is_read_again);
+    CPPUNIT_TEST(watch_that_a_silent_store_never_answers_is_given_up);
     CPPUNIT_TEST(draining_endpoint_gets_no_new_work);
     CPPUNIT_TEST(unusable_entry_names_no_endpoint);
     CPPUNIT_TEST(requests_are_served_while_the_store_is_away);
@@ -109,6 +110,18 @@
         CPPUNIT_ASSERT(wait_until([this] { return this->status_of("/added/1") == 200U; }, 2s));
     }
 
+    // Pattern: the store falls silent, a watch begins, and the store comes back without ever answering it.
+    void watch_that_a_silent_store_never_answers_is_given_up()
+    {
+        this->start();
+        this->site->store->set_fault(store_fault::silent);
+        this->site->write_config(5);
+        std::this_thread::sleep_for(4s);
+        this->site->store->set_fault(store_fault::none);
+        this->site->write_config(7, "/added/");
+        CPPUNIT_ASSERT(wait_until([this] { return this->status_of("/added/1") == 200U; }, 5s));
+    }
+
     void draining_endpoint_gets_no_new_work()
     {
         this->start();
@@ -185,17 +198,17 @@
             return this->status_of("/once/1");
         });
         std::this_thread::sleep_for(200ms);
-        this->site->gateway->signal(SIGTERM);
+        this->site->gateway()->signal(SIGTERM);
         CPPUNIT_ASSERT(wait_until([this] { return !this->site->is_ready(); }, 500ms));
         CPPUNIT_ASSERT_EQUAL(200U, running.get());
         constexpr int grace_seconds = 8;
-        CPPUNIT_ASSERT_EQUAL(0, this->site->gateway->wait(grace_seconds));
+        CPPUNIT_ASSERT_EQUAL(0, this->site->gateway()->wait(grace_seconds));
     }
 
     void hangup_reads_the_settings_and_cuts_nothing()
     {
         this->start();
-        this->site->gateway->signal(SIGHUP);
+        this->site->gateway()->signal(SIGHUP);
         CPPUNIT_ASSERT(
             wait_until([this] { return this->site->log().find("state=settings_applied") != std::string::npos; }));
         CPPUNIT_ASSERT_EQUAL(200U, this->status_of("/plain/1"));
--- a/tests/platform/test_streams.cpp
+++ b/tests/platform/test_streams.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(read_prompt_is_offered_to_a_second_decode_engine);
     CPPUNIT_TEST(full_engines_refuse_truthfully);
     CPPUNIT_TEST(callers_leaving_stops_the_stream);
+    CPPUNIT_TEST(surplus_prefill_engine_is_ordered_to_decode_once);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -140,6 +141,33 @@
             500ms));
     }
 
+    // Pattern: prefill engines idle at crests while decode engines are full.
+    void surplus_prefill_engine_is_ordered_to_decode_once()
+    {
+        this->start(4, 4);
+        const auto orders = [this] {
+            std::vector<engine_call> found;
+            for (const auto& [id, engine] : this->site->engines) {
+                for (const engine_call& call : engine->calls()) {
+                    if (call.kind == "order")
+                        found.push_back(call);
+                }
+            }
+            return found;
+        };
+        CPPUNIT_ASSERT(wait_until([&] { return orders().size() == 2; }, 8s));
+        const std::string log = this->site->log();
+        const std::size_t held = log.find("state=orders_held token=");
+        CPPUNIT_ASSERT(held != std::string::npos);
+        for (const engine_call& order : orders()) {
+            CPPUNIT_ASSERT(order.asked.body.find(R"("phase":"decode")") != std::string::npos);
+            CPPUNIT_ASSERT(order.asked.body.find(R"("holder":"host-1")") != std::string::npos);
+            CPPUNIT_ASSERT(http::find_header(order.asked.lines, "Expect-Instance").starts_with("r"));
+        }
+        CPPUNIT_ASSERT_EQUAL(200U, this->stream("/stream/1").status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, orders().size());
+    }
+
 private:
     std::unique_ptr<platform_site> site;
 };
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,30 @@
+#include <cstdlib>
+#include <iostream>
+
+#include "base/log.h"
+#include "soak_run.h"
+#include "standin_server.h"
+
+/// Runs the seeds from --seed on, --count of them, each for --seconds with --hosts gateways.
+int main(int argc, char** argv)
+{
+    using namespace radishstep;
+    start_log("soak", "OFF");
+    testing::soak_plan plan;
+    const int first = standin::flag(argc, argv, "seed", 1);
+    const int count = standin::flag(argc, argv, "count", 1);
+    plan.seconds = standin::flag(argc, argv, "seconds", plan.seconds);
+    plan.hosts = standin::flag(argc, argv, "hosts", plan.hosts);
+    plan.callers = standin::flag(argc, argv, "callers", plan.callers);
+    int red = 0;
+    for (int seed = first; seed < first + count; ++seed) {
+        plan.seed = static_cast<std::uint64_t>(seed);
+        const auto findings = testing::soak_run{plan}.run();
+        red += findings.empty() ? 0 : 1;
+        std::cout << "seed " << seed << ": " << (findings.empty() ? "held" : "BROKEN") << std::endl;
+        for (const std::string& finding : findings)
+            std::cout << "  " << finding << std::endl;
+    }
+    std::cout << count - red << " passed, " << red << " failed" << std::endl;
+    return red == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,322 @@
+#include "soak_run.h"
+
+#include <csignal>
+#include <map>
+#include <thread>
+
+namespace radishstep::testing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int plain_endpoints = 3;
+constexpr int prefill_engines = 2;
+constexpr int decode_engines = 4;
+
+bool may_repeat(const std::string& path)
+{
+    return path.starts_with("/plain/") || path.starts_with("/resume/");
+}
+
+bool is_stream(const std::string& path)
+{
+    return path.starts_with("/stream/") || path.starts_with("/resume/");
+}
+
+} // namespace
+
+soak_run::soak_run(soak_plan plan)
+    : plan(plan), random(plan.seed), site(plain_endpoints, prefill_engines, decode_engines, plan.hosts)
+{
+    for (const auto& [id, engine] : this->site.engines) {
+        this->proxies.push_back(std::make_unique<fault_proxy>(this->site.io.get_executor(), engine->address()));
+        engine->announce_as(this->proxies.back()->address());
+    }
+    this->site.announce_engines();
+}
+
+std::vector<std::string> soak_run::run()
+{
+    this->start_hosts();
+    std::vector<std::thread> callers;
+    for (int i = 0; i < this->plan.callers; ++i)
+        callers.emplace_back([this, i] { this->send_calls(i); });
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{this->plan.seconds};
+    while (std::chrono::steady_clock::now() < until) {
+        this->inject_fault();
+        std::this_thread::sleep_for(milliseconds{100 + this->pick(500)});
+    }
+    this->end_faults();
+    this->check_recovery();
+    this->is_over = true;
+    for (std::thread& caller : callers)
+        caller.join();
+    this->check_answers();
+    this->check_runs();
+    this->check_budget();
+    this->check_config();
+    this->check_drain();
+    return this->findings;
+}
+
+void soak_run::start_hosts()
+{
+    for (int host = 0; host < this->plan.hosts; ++host)
+        this->site.start_gateway(static_cast<std::size_t>(host));
+    for (int host = 0; host < this->plan.hosts; ++host) {
+        if (!this->site.wait_ready(5s, static_cast<std::size_t>(host)))
+            this->broken("host " + std::to_string(host) + " is not ready 5 s after its start");
+    }
+}
+
+site_request soak_run::next_wish(std::mt19937_64& own_random, const std::string& id) const
+{
+    constexpr std::array paths{"/plain/", "/once/", "/stream/", "/resume/"};
+    constexpr int one_in_leaves = 12;
+    site_request wish;
+    wish.path = std::string{paths[own_random() % paths.size()]} + id;
+    wish.id = id;
+    wish.body = "body of " + id;
+    if (is_stream(wish.path))
+        wish.more = {{"Model", "m"}, {"Token-Count", "800,100"}, {"Prefix-Hash", "a:200,b:600"}};
+    if (own_random() % one_in_leaves == 0)
+        wish.leave_after = milliseconds{5 + own_random() % 60};
+    return wish;
+}
+
+void soak_run::send_calls(int caller_number)
+{
+    caller calls;
+    std::mt19937_64 own_random{this->plan.seed * 1'000 + static_cast<std::uint64_t>(caller_number)};
+    for (int i = 0; !this->is_over; ++i) {
+        const site_request wish =
+            this->next_wish(own_random, "c" + std::to_string(caller_number) + "-" + std::to_string(i));
+        const std::size_t host = own_random() % static_cast<std::size_t>(this->plan.hosts);
+        const site_answer got = calls.wait(call_gateway(this->site.callers_address(host), wish));
+        const std::scoped_lock lock{this->mutex};
+        this->ended.push_back({wish, got, wish.leave_after > 0ms});
+    }
+}
+
+void soak_run::inject_fault()
+{
+    switch (this->pick(5)) {
+    case 0:
+    case 1:
+        return this->disturb_engine();
+    case 2:
+        return this->disturb_host();
+    case 3:
+        return this->disturb_store();
+    default:
+        return this->change_config();
+    }
+}
+
+void soak_run::disturb_engine()
+{
+    const auto chosen = static_cast<std::size_t>(this->pick(static_cast<int>(this->site.engines.size())));
+    constexpr int engine_faults = static_cast<int>(engine_fault::lapsed_prompts) + 1;
+    constexpr int proxy_faults = static_cast<int>(proxy_fault::silence) + 1;
+    if (this->pick(2) == 0)
+        this->proxies[chosen]->set_fault(static_cast<proxy_fault>(this->pick(proxy_faults)));
+    else
+        this->site.engines[chosen].second->set_fault(static_cast<engine_fault>(this->pick(engine_faults)));
+}
+
+void soak_run::disturb_host()
+{
+    const auto host = static_cast<std::size_t>(this->pick(this->plan.hosts));
+    auto& gateway = this->site.gateway(host);
+    if (!gateway->is_running()) {
+        this->site.start_gateway(host);
+        return;
+    }
+    switch (this->pick(4)) {
+    case 0:
+        gateway->kill();
+        this->site.start_gateway(host);
+        break;
+    case 1:
+        gateway->signal(SIGTERM);
+        break;
+    case 2:
+        gateway->signal(SIGHUP);
+        break;
+    default:
+        gateway->signal(SIGSTOP);
+        std::this_thread::sleep_for(milliseconds{200 + this->pick(1'200)});
+        gateway->signal(SIGCONT);
+    }
+}
+
+void soak_run::disturb_store()
+{
+    constexpr int store_faults = static_cast<int>(store_fault::lost_writes) + 1;
+    switch (this->pick(4)) {
+    case 0:
+        return this->site.store->compact();
+    case 1:
+        return this->site.store->end_leases();
+    default:
+        return this->site.store->set_fault(static_cast<store_fault>(this->pick(store_faults)));
+    }
+}
+
+void soak_run::change_config()
+{
+    this->version += 1 + this->pick(5);
+    this->site.write_config(this->version, "/added-" + std::to_string(this->version) + "/");
+}
+
+void soak_run::end_faults()
+{
+    for (std::size_t i = 0; i < this->proxies.size(); ++i) {
+        this->proxies[i]->set_fault(proxy_fault::none);
+        this->site.engines[i].second->set_fault(engine_fault::none);
+    }
+    this->site.store->set_fault(store_fault::none);
+    // A host that was asked to stop has its whole time to do so before it is started again.
+    constexpr auto grace = 9s;
+    for (int i = 0; i < this->plan.hosts; ++i) {
+        const auto host = static_cast<std::size_t>(i);
+        this->site.gateway(host)->signal(SIGCONT);
+        if (wait_until([&] { return !this->site.gateway(host)->is_running() || this->site.is_ready(host); }, grace) &&
+            this->site.gateway(host)->is_running())
+            continue;
+        this->site.start_gateway(host);
+    }
+}
+
+void soak_run::check_recovery()
+{
+    constexpr auto recovery = 6s;
+    constexpr int probes = 20;
+    for (int i = 0; i < this->plan.hosts; ++i) {
+        if (!this->site.wait_ready(recovery, static_cast<std::size_t>(i)))
+            this->broken("host " + std::to_string(i) + " is not ready 6 s after the last fault");
+    }
+    std::this_thread::sleep_for(4s);
+    int served = 0;
+    for (int i = 0; i < probes; ++i) {
+        site_request wish;
+        wish.id = "probe-" + std::to_string(i);
+        wish.path = "/once/" + wish.id;
+        served += this->site.call(wish).status == 200U ? 1 : 0;
+    }
+    if (served < probes - 1)
+        this->broken("only " + std::to_string(served) + " of 20 calls are served after the faults");
+}
+
+void soak_run::check_answers()
+{
+    constexpr unsigned good = 200;
+    for (const ended_call& call : this->ended) {
+        if (call.has_left || call.got.status != good)
+            continue;
+        if (is_stream(call.wish.path)) {
+            const std::string whole = whole_stream(call.wish.id);
+            if (call.got.is_whole && call.got.body != whole)
+                this->broken("stream " + call.wish.id + " ends as whole and is not");
+            if (!whole.starts_with(call.got.body))
+                this->broken("stream " + call.wish.id + " has other bytes");
+            continue;
+        }
+        if (call.got.is_whole && !call.got.body.starts_with("whole answer of p"))
+            this->broken("call " + call.wish.id + " got '" + call.got.body + "'");
+        if (http::find_header(call.got.lines, "Attempt-Id") != call.wish.id)
+            this->broken("call " + call.wish.id + " got the answer of another");
+    }
+}
+
+void soak_run::check_runs()
+{
+    std::map<std::string, int> runs;
+    for (const auto& [id, engine] : this->site.engines) {
+        if (engine->active() != 0 && !wait_until([&] { return engine->active() == 0; }, 1s))
+            this->broken("endpoint " + id + " still works a second after the last call");
+        for (const engine_call& call : engine->calls()) {
+            runs[call.id] += call.has_run ? 1 : 0;
+            if (!call.id.starts_with("probe") && call.kind != "order" && call.asked.body != "body of " + call.id)
+                this->broken("endpoint " + id + " got another body for " + call.id);
+        }
+    }
+    for (const ended_call& call : this->ended) {
+        const int times = runs[call.wish.id];
+        if (!may_repeat(call.wish.path) && times > 1)
+            this->broken(call.wish.path + " ran " + std::to_string(times) + " times");
+        const unsigned status = call.got.status;
+        const bool denies = status == 503U || status == 429U || status == 408U || status == 421U;
+        if (denies && !call.has_left && !may_repeat(call.wish.path) && times > 0)
+            this->broken(call.wish.path + " was answered " + std::to_string(status) + " and ran");
+    }
+}
+
+void soak_run::check_budget()
+{
+    // The settings' ratio and slack; each further window allows its slack again.
+    constexpr double ratio = 0.2;
+    constexpr int slack = 20;
+    constexpr int window_seconds = 10;
+    std::map<std::string, int> arrivals;
+    for (const auto& [id, engine] : this->site.engines) {
+        for (const engine_call& call : engine->calls()) {
+            if (call.kind != "order" && call.kind != "prefill")
+                ++arrivals[call.id];
+        }
+    }
+    int extras = 0;
+    for (const auto& [id, times] : arrivals)
+        extras += std::max(times - 1, 0);
+    const int windows = (this->plan.seconds + 20) / window_seconds + 1;
+    if (extras > ratio * static_cast<double>(this->ended.size()) + 2 * slack * windows)
+        this->broken(std::to_string(extras) + " extra calls for " + std::to_string(this->ended.size()) + " requests");
+}
+
+void soak_run::check_config()
+{
+    this->change_config();
+    const std::string path = "/added-" + std::to_string(this->version) + "/";
+    caller calls;
+    for (int i = 0; i < this->plan.hosts; ++i) {
+        const std::string address = this->site.callers_address(static_cast<std::size_t>(i));
+        const auto status_of = [&](const std::string& asked) {
+            site_request wish;
+            wish.id = "probe-config";
+            wish.path = asked;
+            return calls.wait(call_gateway(address, wish)).status;
+        };
+        if (!wait_until([&] { return status_of(path + "1") == 200U; }, 2s))
+            this->broken("host " + std::to_string(i) + " does not serve the newest configuration");
+        if (status_of("/added-never/1") != 404U)
+            this->broken("host " + std::to_string(i) + " serves a route that never was");
+    }
+}
+
+void soak_run::check_drain()
+{
+    standin_engine& leaving = *this->site.engines.front().second;
+    this->site.store->put(leaving.key(), leaving.entry("draining"));
+    std::this_thread::sleep_for(2s);
+    const std::size_t before = leaving.calls().size();
+    for (int i = 0; i < 20; ++i) {
+        site_request wish;
+        wish.id = "probe-drain-" + std::to_string(i);
+        this->site.call(wish);
+    }
+    if (leaving.calls().size() != before)
+        this->broken("a draining endpoint got new work");
+}
+
+void soak_run::broken(const std::string& what)
+{
+    this->findings.push_back(what);
+}
+
+int soak_run::pick(int below)
+{
+    return static_cast<int>(this->random() % static_cast<std::uint64_t>(below));
+}
+
+} // namespace radishstep::testing
