Staff prefill engines by the square root of their load

Change: as many readers as are busy at full decode engines and 1.5 square roots more. The small sites keep theirs; the grown ones give up six of 21.

--- a/src/forward/phase_balance.cpp
+++ b/src/forward/phase_balance.cpp
@@ -13,11 +13,9 @@
 constexpr double stream_seconds = 3.6;
 /// How long such a prompt keeps a prefill engine: 3,200 tokens at 33 a millisecond.
 constexpr double reading_seconds = 0.096;
-/// Share of its time that a prefill engine may be busy while the decode engines are full; above it
-/// prompts wait for each other.
-constexpr double reading_share = 0.7;
-/// Two, so that the loss of one does not leave all prompts to the decode engines.
-constexpr int least_readers = 2;
+/// Readers beyond the load, in square roots of it: with so many, few prompts of a random stream wait
+/// (square-root staffing).
+constexpr double spare_roots = 1.5;
 
 bool is_among(const std::vector<std::string>& names, const std::string& name)
 {
@@ -29,9 +27,9 @@
 int wanted_readers(int engines, std::int64_t memory_tokens)
 {
     const double streams = static_cast<double>(memory_tokens) / stream_tokens;
-    const double readers_per_decoder = streams / stream_seconds * reading_seconds / reading_share;
-    const double wanted = engines * readers_per_decoder / (1 + readers_per_decoder);
-    return std::max(static_cast<int>(std::ceil(wanted)), least_readers);
+    const double readers_per_decoder = streams / stream_seconds * reading_seconds;
+    const double busy = engines * readers_per_decoder / (1 + readers_per_decoder);
+    return static_cast<int>(std::ceil(busy + spare_roots * std::sqrt(busy)));
 }
 
 std::optional<endpoint> surplus_reader(const std::vector<const endpoint*>& engines,
--- a/src/forward/phase_duty.cpp
+++ b/src/forward/phase_duty.cpp
@@ -104,8 +104,8 @@
         while (known.memory_tokens > 0 && !this->is_stopped) {
             if (runtime_clock::now() > this->renewed + order_validity)
                 co_return;
-            const auto engine = surplus_reader(this->context.directory.usable(known.name), this->changing(),
-                                               known.memory_tokens);
+            const auto engine =
+                surplus_reader(this->context.directory.usable(known.name), this->changing(), known.memory_tokens);
             if (!engine)
                 break;
             co_await this->order(*engine, known);
@@ -119,8 +119,8 @@
     options.connect_time = connect_time;
     options.silence_time = order_time;
     options.fresh_connection = true;
-    http::request call = this->context.dialect.phase_order(engine, endpoint_phase::decode, this->settings.host,
-                                                           this->token);
+    http::request call =
+        this->context.dialect.phase_order(engine, endpoint_phase::decode, this->settings.host, this->token);
     const auto got = co_await this->context.calls.call(engine.address, std::move(call), std::move(options));
     constexpr unsigned first_refusal = 300;
     const bool is_taken = got && got->status < first_refusal;
