--- a/src/forward/endpoint_chooser.cpp
+++ b/src/forward/endpoint_chooser.cpp
@@ -18,10 +18,6 @@
 /// Random part of a score, so that hosts that see the same loads do not all choose the same endpoint.
 constexpr double jitter_weight = 0.3;
 
-/// What lost answers cost a call that may not be repeated, in calls that run before it: its caller gets
-/// nothing, where waiting only costs time.
-constexpr double loss_weight = 60;
-
 /// What an endpoint that is avoided costs in the score: it is used when all others are out.
 constexpr double avoided_weight = 1'000;
 constexpr double avoided_ms = 1e6;
@@ -76,7 +72,6 @@
         score += candidate->zone == this->zone ? 0 : other_zone_weight;
         score += jitter_weight * mixed(search.draw, index++);
         score += this->health.is_avoided(incarnation, now) ? avoided_weight : 0;
-        score += search.is_repeatable ? 0 : loss_weight * this->health.loss_share(incarnation, now);
         const std::int64_t ahead = search.are_loads_fresh ? calls_ahead : calls_ahead_unknown;
         for (std::int64_t place = calls; place < candidate->slots + ahead; ++place)
             places.emplace_back(score++, candidate);
--- a/src/forward/endpoint_chooser.h
+++ b/src/forward/endpoint_chooser.h
@@ -51,8 +51,6 @@
     std::size_t left_to_others = 0;
     /// The loads at other hosts are known within a fraction of a call's time.
     bool are_loads_fresh = true;
-    /// The request may run more than once.
-    bool is_repeatable = true;
 };
 
 /// Why no place was found.
--- a/src/forward/endpoint_health.cpp
+++ b/src/forward/endpoint_health.cpp
@@ -21,7 +21,6 @@
 void endpoint_health::record(const std::string& incarnation, call_outcome outcome, time_point now)
 {
     const double before = this->failure_share(incarnation, now);
-    const double losses_before = this->loss_share(incarnation, now);
     record_of& known = this->records[incarnation];
     known.last = now;
     if (outcome == call_outcome::rejected) {
@@ -29,9 +28,6 @@
         known.next_full_avoidance = std::min(known.next_full_avoidance * 2, longest_full_avoidance);
         return;
     }
-    const bool is_loss = outcome == call_outcome::lost;
-    known.losses = losses_before * (1 - newest_weight) + (is_loss ? newest_weight : 0);
-    known.losses_at = now;
     const double newest = outcome == call_outcome::answered ? 0 : 1;
     known.failures = before * (1 - newest_weight) + newest * newest_weight;
     known.failures_at = now;
@@ -72,14 +68,6 @@
     return faded(found->second.failures, now - found->second.failures_at, forget_time);
 }
 
-double endpoint_health::loss_share(const std::string& incarnation, time_point now) const
-{
-    const auto found = this->records.find(incarnation);
-    if (found == this->records.end())
-        return 0;
-    return faded(found->second.losses, now - found->second.losses_at, loss_memory);
-}
-
 double endpoint_health::pace(const std::string& incarnation, time_point now) const
 {
     const auto found = this->records.find(incarnation);
--- a/src/forward/endpoint_health.h
+++ b/src/forward/endpoint_health.h
@@ -28,10 +28,6 @@
     /// Time in which an old failure share falls to a third, so that endpoints get another chance.
     static constexpr milliseconds forget_time{4'000};
 
-    /// Time in which an old loss share falls to a third: an endpoint that loses answers is for a while used
-    /// for calls only that may be repeated, which show when it is well again.
-    static constexpr milliseconds loss_memory{10'000};
-
     /// Counts an outcome.
     void record(const std::string& incarnation, call_outcome outcome, time_point now);
 
@@ -44,9 +40,6 @@
     /// Returns the share of calls that failed lately, from 0 to 1.
     double failure_share(const std::string& incarnation, time_point now) const;
 
-    /// Returns the share of answers that were lost or broken lately, from 0 to 1.
-    double loss_share(const std::string& incarnation, time_point now) const;
-
     /// Returns how many times longer than expected calls take lately, at least 1.
     double pace(const std::string& incarnation, time_point now) const;
 
@@ -61,8 +54,6 @@
         milliseconds next_full_avoidance = full_avoidance;
         double failures = 0;
         time_point failures_at;
-        double losses = 0;
-        time_point losses_at;
         double slowness = 1;
         time_point slowness_at;
         time_point last;
--- a/src/forward/place_wait.cpp
+++ b/src/forward/place_wait.cpp
@@ -69,8 +69,7 @@
             place = line.fall_back(place);
         missing = no_place::full;
         if (may_look(context, hand, line, place, now)) {
-            place_search search{avoided, context.draw(), line.before(place), context.are_loads_fresh,
-                                hand.way.is_repeatable};
+            place_search search{avoided, context.draw(), line.before(place), context.are_loads_fresh};
             search.left_to_others += context.load.heads_before({hand.service, place.is_late, place.since}, now);
             missing = find(search);
         }
--- a/src/forward/plain_forward.cpp
+++ b/src/forward/plain_forward.cpp
@@ -120,7 +120,7 @@
     case answer_kind::foreign:
     case answer_kind::broken:
         ++this->runs;
-        this->context.health.record(incarnation, call_outcome::lost, now);
+        this->context.health.record(incarnation, call_outcome::failed, now);
         return next_step::try_again;
     case answer_kind::own:
         break;
