--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -40,6 +40,7 @@
 {
     this->start_hosts();
     std::vector<std::thread> callers;
+    callers.reserve(static_cast<std::size_t>(this->plan.callers));
     for (int i = 0; i < this->plan.callers; ++i)
         callers.emplace_back([this, i] { this->send_calls(i); });
     const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{this->plan.seconds};
