--- a/src/forward/endpoint_directory.cpp
+++ b/src/forward/endpoint_directory.cpp
@@ -71,15 +71,6 @@
     return found;
 }
 
-const endpoint* endpoint_directory::find(const std::string& incarnation) const
-{
-    for (const auto& [entry_key, entry] : this->known) {
-        if (entry.incarnation() == incarnation)
-            return &entry;
-    }
-    return nullptr;
-}
-
 bool endpoint_directory::is_in_grace(time_point now) const
 {
     return this->is_source_away || (this->regained_at && now < *this->regained_at + return_time);
--- a/src/forward/endpoint_directory.h
+++ b/src/forward/endpoint_directory.h
@@ -41,9 +41,6 @@
     /// Returns the endpoints of a service that take new work.
     std::vector<const endpoint*> usable(const std::string& service) const;
 
-    /// Returns the endpoint of that incarnation, or nullptr.
-    const endpoint* find(const std::string& incarnation) const;
-
     /// Returns all entries by their keys.
     const std::map<std::string, endpoint>& entries() const { return this->known; }
 
