--- a/src/forward/forward_dialect.h
+++ b/src/forward/forward_dialect.h
@@ -90,7 +90,7 @@
 
     /// Returns a refusal of our own, with the time after which the caller may come back if there is one.
     virtual http::response refusal(const std::string& request_id, const error& reason,
-                                   std::optional<milliseconds> come_back) const = 0;
+                                   std::optional<milliseconds> retry_after) const = 0;
 };
 
 } // namespace radishstep::forward
--- a/src/forward/forward_server.cpp
+++ b/src/forward/forward_server.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// When a caller may come back to a host that has no configuration yet.
-constexpr milliseconds not_ready_return{300};
+constexpr milliseconds not_ready_retry{300};
 
 http::server_limits to_server_limits(const caller_limits& limits)
 {
@@ -127,10 +127,10 @@
                              {"cause", describe(reason)},
                              {"config", std::to_string(this->context.config ? this->context.config->version : 0)}});
     count("radishstep_forward_refused_total", {{"kind", std::string{to_string(reason.kind)}}});
-    std::optional<milliseconds> come_back;
+    std::optional<milliseconds> retry_after;
     if (reason.kind == error_kind::unavailable)
-        come_back = not_ready_return;
-    http::response refusal = this->context.dialect.refusal(request_id, reason, come_back);
+        retry_after = not_ready_retry;
+    http::response refusal = this->context.dialect.refusal(request_id, reason, retry_after);
     co_await caller.send(std::move(refusal));
 }
 
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -68,7 +68,7 @@
 } // namespace
 
 gateway::gateway(asio::io_context& io, gateway_settings settings, const forward_dialect& dialect,
-                 key_value_source& store, site_documents documents)
+                 key_value_source& store, document_readers documents)
     : io(io), settings(std::move(settings)), store(store), documents(std::move(documents)),
       context(io.get_executor(), dialect, this->settings.zone),
       peers(io.get_executor(), this->settings.host, this->context.load,
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -19,7 +19,7 @@
 namespace radishstep::forward {
 
 /// How a site writes down what the gateway reads from the key-value service.
-struct site_documents
+struct document_readers
 {
     std::string config_key;
     std::string endpoints_prefix;
@@ -35,7 +35,7 @@
 {
 public:
     gateway(boost::asio::io_context& io, gateway_settings settings, const forward_dialect& dialect,
-            key_value_source& store, site_documents documents);
+            key_value_source& store, document_readers documents);
     ~gateway();
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
@@ -62,7 +62,7 @@
     boost::asio::io_context& io;
     gateway_settings settings;
     key_value_source& store;
-    site_documents documents;
+    document_readers documents;
     forward_context context;
     peer_exchange peers;
     phase_duty phases;
--- a/src/forward/phase_duty.cpp
+++ b/src/forward/phase_duty.cpp
@@ -127,10 +127,7 @@
     milliseconds pause = unanswered_pause;
     if (is_taken)
         pause = known.phase_change_time + entry_margin;
-    log_state("phase_ordered", {{"endpoint", engine.id},
-                                {"token", std::to_string(this->token)},
-                                {"outcome", got ? std::to_string(got->status) : describe(got.error())}});
-    count("radishstep_forward_orders_total", {{"taken", is_taken ? "yes" : "no"}});
+    this->report_order(engine, got, is_taken);
     change_in_progress change;
     change.incarnation = engine.incarnation();
     change.until = runtime_clock::now() + pause;
@@ -145,6 +142,14 @@
     this->changes.push_back(std::move(change));
 }
 
+void phase_duty::report_order(const endpoint& engine, const result<http::response>& got, bool is_taken) const
+{
+    log_state("phase_ordered", {{"endpoint", engine.id},
+                                {"token", std::to_string(this->token)},
+                                {"outcome", got ? std::to_string(got->status) : describe(got.error())}});
+    count("radishstep_forward_orders_total", {{"taken", is_taken ? "yes" : "no"}});
+}
+
 std::vector<std::string> phase_duty::changing() const
 {
     std::vector<std::string> names;
--- a/src/forward/phase_duty.h
+++ b/src/forward/phase_duty.h
@@ -43,6 +43,7 @@
     boost::asio::awaitable<bool> renew();
     boost::asio::awaitable<void> give_orders();
     boost::asio::awaitable<void> order(endpoint engine, const service& known);
+    void report_order(const endpoint& engine, const result<http::response>& got, bool is_taken) const;
     std::vector<std::string> changing() const;
 
     forward_context& context;
--- a/src/forward/place_wait.cpp
+++ b/src/forward/place_wait.cpp
@@ -48,7 +48,7 @@
 
 error reason_of(no_place cause)
 {
-    const std::string remedy = "come back after the given time";
+    const std::string remedy = "retry after the given time";
     if (cause == no_place::no_endpoint)
         return {error_kind::no_endpoint, "no endpoint of the service takes the request", remedy};
     return {error_kind::overloaded, "all endpoints of the service are full", remedy};
--- a/src/forward/plain_forward.cpp
+++ b/src/forward/plain_forward.cpp
@@ -24,8 +24,7 @@
             break;
         }
         if (this->arrivals > 0 && !this->context.budget.take(this->hand.service, runtime_clock::now())) {
-            this->failure =
-                error{error_kind::overloaded, "the retry budget is spent", "come back after the given time"};
+            this->failure = error{error_kind::overloaded, "the retry budget is spent", "retry after the given time"};
             break;
         }
         const next_step next = co_await this->send_to(this->chosen);
@@ -145,7 +144,7 @@
                      "the time for the request is over", "allow more time"};
     if (this->outcome.sends >= most_sends)
         return error{this->runs > 0 ? error_kind::endpoint_failed : error_kind::overloaded,
-                     "several endpoints could not take the request", "come back after the given time"};
+                     "several endpoints could not take the request", "retry after the given time"};
     return std::nullopt;
 }
 
@@ -166,7 +165,7 @@
     }
     const error reason = truthful_reason(*this->failure, this->runs > 0);
     http::response refusal = this->context.dialect.refusal(this->hand.asked.id, reason,
-                                                           come_back_after(this->runs > 0, this->hand.watch.left()));
+                                                           retry_delay(this->runs > 0, this->hand.watch.left()));
     this->outcome.status = refusal.status;
     this->outcome.cause = reason.message;
     co_await this->hand.caller.send(std::move(refusal));
--- a/src/forward/request_rules.cpp
+++ b/src/forward/request_rules.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// When a refused caller may come back: about the time in which a short crest passes.
-constexpr milliseconds usual_return{250};
+constexpr milliseconds usual_retry{250};
 
 /// Callers honour at most a third of the time that they have left.
 constexpr int most_part_of_left = 3;
@@ -30,11 +30,11 @@
     return {error_kind::outcome_unknown, reason.message, ""};
 }
 
-std::optional<milliseconds> come_back_after(bool may_have_run, milliseconds left)
+std::optional<milliseconds> retry_delay(bool may_have_run, milliseconds left)
 {
     if (may_have_run)
         return std::nullopt;
-    return std::min(usual_return, left / most_part_of_left);
+    return std::min(usual_retry, left / most_part_of_left);
 }
 
 } // namespace radishstep::forward
--- a/src/forward/request_rules.h
+++ b/src/forward/request_rules.h
@@ -24,6 +24,6 @@
 error truthful_reason(const error& reason, bool may_have_run);
 
 /// Returns when a refused caller may come back, or nothing when the request may have run.
-std::optional<milliseconds> come_back_after(bool may_have_run, milliseconds left);
+std::optional<milliseconds> retry_delay(bool may_have_run, milliseconds left);
 
 } // namespace radishstep::forward
