Reserve the ports of the stand-in site's hosts for as long as it lives

The stand-in site chose a port by opening and closing a listener; until the gateway listened, and whenever a soak had killed it, the kernel could give that port to any outgoing connection of the tests that ran beside it. Ruled out: a fault of the soak (the host was not ready at its first start, before any fault).

Change: a reserved_address keeps a bound socket for the site's life. A soak that finds something keeps the hosts' logs and prints where.

Before: the new test found the address free, and in the same run another test of the suite failed in its set-up because its gateway was never ready.

--- a/src/forward/endpoint_directory.cpp
+++ b/src/forward/endpoint_directory.cpp
@@ -25,9 +25,9 @@
     }
     for (auto& [entry_key, entry] : entries)
         this->put(entry_key, std::move(entry));
-    const bool may_retry_after = this->is_in_grace(now);
+    const bool may_come_back = this->is_in_grace(now);
     for (const std::string& entry_key : vanished) {
-        if (may_retry_after)
+        if (may_come_back)
             this->missing.try_emplace(entry_key, now);
         else
             this->remove(entry_key);
--- a/tests/platform/platform_site.cpp
+++ b/tests/platform/platform_site.cpp
@@ -31,13 +31,6 @@
 
 namespace {
 
-std::string free_address()
-{
-    asio::io_context io;
-    asio::ip::tcp::acceptor listener{io, {asio::ip::make_address("127.0.0.1"), 0}};
-    return "127.0.0.1:" + std::to_string(listener.local_endpoint().port());
-}
-
 json route(const std::string& prefix, const std::string& type, const std::string& service, int attempts)
 {
     return {{"name", "route" + prefix},
@@ -111,9 +104,12 @@
 platform_site::platform_site(int plain, int readers, int decoders, int host_count)
     : work(asio::make_work_guard(this->io))
 {
-    for (int i = 1; i <= host_count; ++i)
-        this->hosts.push_back({free_address(), free_address(), "host-" + std::to_string(i), std::nullopt});
-    const std::string port = this->callers_address().substr(this->callers_address().rfind(':') + 1);
+    for (int i = 1; i <= host_count; ++i) {
+        host_of_site host;
+        host.name = "host-" + std::to_string(i);
+        this->hosts.push_back(std::move(host));
+    }
+    const std::string port = std::to_string(this->hosts.front().callers.port());
     this->folder =
         std::filesystem::temp_directory_path() / ("radishstep-site-" + std::to_string(::getpid()) + "-" + port);
     std::filesystem::create_directories(this->folder);
@@ -141,7 +137,14 @@
         host.gateway.reset();
     this->io.stop();
     this->thread.join();
-    std::filesystem::remove_all(this->folder);
+    if (!this->are_files_kept)
+        std::filesystem::remove_all(this->folder);
+}
+
+const std::string& platform_site::keep_files()
+{
+    this->are_files_kept = true;
+    return this->folder;
 }
 
 std::string platform_site::file_of(std::size_t host, const std::string& ending) const
@@ -151,14 +154,12 @@
 
 void platform_site::write_settings(const host_of_site& host) const
 {
-    const std::string peers = free_address();
-    const int peer_port = std::stoi(peers.substr(peers.rfind(':') + 1));
     const json settings{
         {"node_name", host.name},
         {"zone", "a"},
         {"ip", "127.0.0.1"},
-        {"listen", {{"front", host.callers_address}, {"ready", host.ready_address}}},
-        {"internal_ports", {peer_port, peer_port}},
+        {"listen", {{"front", host.callers.text()}, {"ready", host.ready.text()}}},
+        {"internal_ports", {host.peers.port(), host.peers.port()}},
         {"platform", {{"address", this->store->address()}, {"ttl_min_ms", 1'000}}},
         {"bounds", {{"retry_budget_ratio", 0.2}, {"budget_window_s", 10}, {"retry_budget_slack", 20}, {"grace_s", 8}}}};
     std::ofstream{this->folder + "/" + host.name + ".json"} << settings.dump();
@@ -178,7 +179,7 @@
     question.method = "GET";
     question.path = "/readyz";
     question.body.clear();
-    return this->calls.wait(call_gateway(this->hosts[host].ready_address, question)).status == ok;
+    return this->calls.wait(call_gateway(this->hosts[host].ready.text(), question)).status == ok;
 }
 
 bool platform_site::wait_ready(milliseconds span, std::size_t host)
--- a/tests/platform/platform_site.h
+++ b/tests/platform/platform_site.h
@@ -11,6 +11,7 @@
 
 #include "caller.h"
 #include "process.h"
+#include "reserved_address.h"
 #include "standin_engine.h"
 #include "standin_store.h"
 
@@ -56,7 +57,7 @@
     std::optional<process>& gateway(std::size_t host = 0) { return this->hosts[host].gateway; }
 
     /// Returns where a host's gateway takes callers, as "IP:port".
-    const std::string& callers_address(std::size_t host = 0) const { return this->hosts[host].callers_address; }
+    std::string callers_address(std::size_t host = 0) const { return this->hosts[host].callers.text(); }
 
     /// Waits until the gateway says that it is ready; returns whether it did within `span`.
     bool wait_ready(milliseconds span = milliseconds{5'000}, std::size_t host = 0);
@@ -76,6 +77,9 @@
     /// Returns the log of a host's gateway so far.
     std::string log(std::size_t host = 0) const;
 
+    /// Leaves the settings and logs of the hosts where they are; returns their folder.
+    const std::string& keep_files();
+
     standin_engine& engine(const std::string& id);
 
     boost::asio::io_context io;
@@ -85,8 +89,9 @@
 private:
     struct host_of_site
     {
-        std::string callers_address;
-        std::string ready_address;
+        reserved_address callers;
+        reserved_address ready;
+        reserved_address peers;
         std::string name;
         std::optional<process> gateway;
     };
@@ -96,6 +101,7 @@
 
     std::vector<host_of_site> hosts;
     std::string folder;
+    bool are_files_kept = false;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     std::thread thread;
     caller calls;
--- a/tests/platform/test_store_and_stops.cpp
+++ b/tests/platform/test_store_and_stops.cpp
@@ -25,7 +25,7 @@
     CPPUNIT_TEST(draining_endpoint_gets_no_new_work);
     CPPUNIT_TEST(unusable_entry_names_no_endpoint);
     CPPUNIT_TEST(requests_are_served_while_the_store_is_away);
-    CPPUNIT_TEST(entries_that_lapsed_in_an_outage_retry_after);
+    CPPUNIT_TEST(entries_that_lapsed_in_an_outage_come_back);
     CPPUNIT_TEST(ended_lease_is_taken_again);
     CPPUNIT_TEST(stop_finishes_what_runs_and_closes_what_is_idle);
     CPPUNIT_TEST(hangup_reads_the_settings_and_cuts_nothing);
@@ -161,7 +161,7 @@
         CPPUNIT_ASSERT(this->site->is_ready());
     }
 
-    void entries_that_lapsed_in_an_outage_retry_after()
+    void entries_that_lapsed_in_an_outage_come_back()
     {
         this->start();
         this->site->store->set_fault(store_fault::reset);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -58,6 +58,8 @@
     this->check_budget();
     this->check_config();
     this->check_drain();
+    if (!this->findings.empty())
+        this->findings.push_back("the hosts' logs are kept in " + this->site.keep_files());
     return this->findings;
 }
 
