Do not take engines that are down for free ones

Cause: endpoints to avoid stood last among the places, but they look empty.

Change: endpoints to avoid are no candidates while at least half of the others are sound.

The test found the crashed engine chosen before.

--- a/src/forward/endpoint_chooser.cpp
+++ b/src/forward/endpoint_chooser.cpp
@@ -169,12 +169,18 @@
 }
 
 std::vector<const endpoint*> endpoint_chooser::candidates(const std::string& service, endpoint_phase phase,
-                                                          const avoided_endpoints& avoided, time_point) const
+                                                          const avoided_endpoints& avoided, time_point now) const
 {
     std::vector<const endpoint*> found = this->directory.usable(service);
     std::erase_if(found, [&](const endpoint* candidate) {
         return candidate->phase != phase || avoided.contains(candidate->incarnation());
     });
+    // Endpoints that are down look empty. A request waits for a place at a sound one rather than go there,
+    // unless so many seem to be down that the fault may be on this side.
+    const auto unsound = std::ranges::partition(
+        found, [&](const endpoint* candidate) { return !this->health.is_avoided(candidate->incarnation(), now); });
+    if (2 * unsound.size() <= found.size())
+        found.erase(unsound.begin(), unsound.end());
     return found;
 }
 
--- a/tests/forward/test_choices.cpp
+++ b/tests/forward/test_choices.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(least_loaded_endpoint_is_chosen_over_all_hosts);
     CPPUNIT_TEST(draining_endpoint_is_never_chosen);
     CPPUNIT_TEST(failing_endpoint_is_used_only_when_no_other_is_left);
+    CPPUNIT_TEST(crest_engines_that_are_down_do_not_count_as_free);
+    CPPUNIT_TEST(all_engines_are_used_when_most_seem_down);
     CPPUNIT_TEST(slowed_endpoint_gets_less);
     CPPUNIT_TEST(endpoint_recovers_its_share_after_a_while);
     CPPUNIT_TEST(full_endpoints_make_calls_wait);
@@ -51,6 +53,12 @@
 
     void add(const endpoint& entry) { this->directory.put(entry.id, entry); }
 
+    void add_decoders(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            this->add(make_endpoint("d" + std::to_string(i), "llm", endpoint_phase::decode, 12));
+    }
+
     place_search search(std::size_t left_to_others = 0) { return {this->none, 0.4, left_to_others, true}; }
 
     std::string plain(std::size_t left_to_others = 0)
@@ -99,6 +107,29 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"p0"}, this->plain());
     }
 
+    // Pattern: a crest while some engines have crashed. Those look empty, the others are full.
+    void crest_engines_that_are_down_do_not_count_as_free()
+    {
+        this->add_decoders(4);
+        this->health.record("d0@0", call_outcome::unreachable, this->now);
+        for (const char* full : {"d1@0", "d2@0", "d3@0"})
+            this->load.begin(full, {.calls = 10, .tokens = 36'000});
+        const auto found = this->chooser.choose_model(demand(), this->search(), this->now);
+        CPPUNIT_ASSERT(!found && found.error() == no_place::full);
+        this->load.end("d2@0", {.calls = 10, .tokens = 36'000});
+        const auto freed = this->chooser.choose_model(demand(), this->search(), this->now);
+        CPPUNIT_ASSERT(freed && freed->decode.id == "d2");
+    }
+
+    void all_engines_are_used_when_most_seem_down()
+    {
+        this->add_decoders(4);
+        for (const char* down : {"d0@0", "d1@0", "d2@0"})
+            this->health.record(down, call_outcome::unreachable, this->now);
+        this->load.begin("d3@0", {.calls = 10, .tokens = 36'000});
+        CPPUNIT_ASSERT(this->chooser.choose_model(demand(), this->search(), this->now));
+    }
+
     void slowed_endpoint_gets_less()
     {
         const endpoint slow = make_endpoint("p0", "app", endpoint_phase::whole, 6);
