Gather changes of endpoints and hosts longer before watching again

Change: 400 ms for endpoints (drain bound 2 s), a second for hosts, 200 ms for the configuration as before.

--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -27,6 +27,12 @@
 constexpr milliseconds renewal_time{2'000};
 constexpr milliseconds registration_pause{500};
 
+/// How long changes may go unseen while others are gathered with them: a tenth of the published bound for
+/// configurations, a fifth of the one for draining endpoints. Hosts come and go in tens of seconds.
+constexpr milliseconds config_batch{200};
+constexpr milliseconds endpoints_batch{400};
+constexpr milliseconds hosts_batch{1'000};
+
 /// How often endpoints that vanished during an outage are looked through, and old records dropped.
 constexpr milliseconds house_time{200};
 
@@ -163,11 +169,14 @@
     peers.on_change = [this](const stored_change& change) { this->take_own(change); };
     peers.on_lost = nothing;
     peers.on_regained = nothing;
-    this->watches.push_back(std::make_unique<watched_prefix>(this->store, this->documents.config_key, config));
-    this->watches.push_back(std::make_unique<watched_prefix>(this->store, this->documents.endpoints_prefix, endpoints));
-    this->watches.push_back(std::make_unique<watched_prefix>(this->store, own_prefix, peers));
-    for (const auto& watch : this->watches)
-        spawn(this->io, watch->run());
+    const auto watch = [this](const std::string& prefix, milliseconds batch, prefix_hooks hooks) {
+        this->watches.push_back(std::make_unique<watched_prefix>(this->store, prefix, batch, std::move(hooks)));
+    };
+    watch(this->documents.config_key, config_batch, config);
+    watch(this->documents.endpoints_prefix, endpoints_batch, endpoints);
+    watch(own_prefix, hosts_batch, peers);
+    for (const auto& watched : this->watches)
+        spawn(this->io, watched->run());
 }
 
 void gateway::take_config(const stored_change& change)
--- a/src/keyvalue/watched_prefix.cpp
+++ b/src/keyvalue/watched_prefix.cpp
@@ -12,8 +12,9 @@
 
 namespace asio = boost::asio;
 
-watched_prefix::watched_prefix(key_value_source& source, std::string prefix, prefix_hooks hooks)
-    : source(source), prefix(std::move(prefix)), hooks(std::move(hooks))
+watched_prefix::watched_prefix(key_value_source& source, std::string prefix, milliseconds batch_pause,
+                               prefix_hooks hooks)
+    : source(source), prefix(std::move(prefix)), batch_pause(batch_pause), hooks(std::move(hooks))
 {
 }
 
@@ -62,7 +63,7 @@
     for (const stored_change& change : got->changes)
         this->hooks.on_change(change);
     if (!got->changes.empty())
-        co_await pause_for(batch_pause);
+        co_await pause_for(this->batch_pause);
     co_return true;
 }
 
--- a/src/keyvalue/watched_prefix.h
+++ b/src/keyvalue/watched_prefix.h
@@ -33,13 +33,12 @@
     /// How long a watch waits for news: the longest that the service allows, since each call has its
     /// price. A connection that went silent is found by its keep-alive probes.
     static constexpr milliseconds watch_time{25'000};
-    /// Pause between news and the next watch, so that changes that come together cost one call.
-    static constexpr milliseconds batch_pause{200};
     /// Pause after the first failed call, and the longest one.
     static constexpr milliseconds first_pause{60};
     static constexpr milliseconds longest_pause{600};
 
-    watched_prefix(key_value_source& source, std::string prefix, prefix_hooks hooks);
+    /// `batch_pause` passes between news and the next watch, so that changes that come together cost one call.
+    watched_prefix(key_value_source& source, std::string prefix, milliseconds batch_pause, prefix_hooks hooks);
 
     /// Keeps up until the process ends.
     boost::asio::awaitable<void> run();
@@ -52,6 +51,7 @@
 
     key_value_source& source;
     std::string prefix;
+    milliseconds batch_pause;
     prefix_hooks hooks;
     std::int64_t revision = 0;
     bool has_read = false;
