Serve fresh requests before hurried ones

Change: a waiting request is fresh, hurried (half of its slack is gone) or late, and goes in that order; hosts tell each other which.

--- a/src/forward/fleet_load.cpp
+++ b/src/forward/fleet_load.cpp
@@ -124,7 +124,7 @@
     std::size_t sum = 0;
     for (const auto& [host, word] : this->peers) {
         sum += static_cast<std::size_t>(std::ranges::count_if(word.heads, [&own](const waiting_head& other) {
-            const bool goes_first = other.is_late != own.is_late ? own.is_late : other.since < own.since;
+            const bool goes_first = other.late != own.late ? other.late < own.late : other.since < own.since;
             return other.service == own.service && goes_first;
         }));
     }
@@ -136,7 +136,7 @@
     this->drop_silent_peers(now);
     return std::ranges::any_of(this->peers, [&service](const auto& peer) {
         return std::ranges::any_of(peer.second.heads, [&service](const waiting_head& head) {
-            return head.service == service && !head.is_late;
+            return head.service == service && head.late != lateness::late;
         });
     });
 }
--- a/src/forward/fleet_load.h
+++ b/src/forward/fleet_load.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/runtime_clock.h"
+#include "forward/lateness.h"
 
 namespace radishstep::forward {
 
@@ -32,8 +33,7 @@
 struct waiting_head
 {
     std::string service;
-    /// It can no longer meet its objective.
-    bool is_late = false;
+    lateness late = lateness::fresh;
     time_point since;
 
     bool operator==(const waiting_head&) const = default;
--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -43,7 +43,7 @@
     std::vector<waiting_head> heads;
     for (const auto& [service, line] : this->lines) {
         if (const auto first = line.first())
-            heads.push_back({service, first->is_late, first->since});
+            heads.push_back({service, first->late, first->since});
     }
     return heads;
 }
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -32,11 +32,18 @@
     return row;
 }
 
+/// Values of a later version count as the nearest that is known.
+lateness to_lateness(std::int32_t value)
+{
+    return static_cast<lateness>(
+        std::clamp(value, static_cast<std::int32_t>(lateness::fresh), static_cast<std::int32_t>(lateness::late)));
+}
+
 wire::WaitingHead to_wire(const waiting_head& head)
 {
     wire::WaitingHead row;
     row.service_name = head.service;
-    row.is_late = head.is_late;
+    row.lateness = static_cast<std::int32_t>(head.late);
     row.age_ms = static_cast<std::int32_t>(to_ms(runtime_clock::now() - head.since));
     return row;
 }
@@ -211,7 +218,7 @@
     const time_point now = runtime_clock::now();
     std::vector<waiting_head> others;
     for (const wire::WaitingHead& head : report->heads)
-        others.push_back({head.service_name, head.is_late, now - milliseconds{head.age_ms}});
+        others.push_back({head.service_name, to_lateness(head.lateness), now - milliseconds{head.age_ms}});
     for (const wire::DownEndpoint& row : report->down)
         this->health.take_down_word({row.endpoint, now - milliseconds{std::max(row.age_ms, 0)}});
     budget_table used;
--- a/src/forward/place_wait.cpp
+++ b/src/forward/place_wait.cpp
@@ -40,8 +40,8 @@
     if (!line.may_search(place))
         return false;
     const auto first = line.first();
-    const bool is_on_time_here = first && !first->is_late;
-    return !place.is_late || (!is_on_time_here && !context.load.has_on_time_head(hand.service, now));
+    const bool is_on_time_here = first && first->late != lateness::late;
+    return place.late != lateness::late || (!is_on_time_here && !context.load.has_on_time_head(hand.service, now));
 }
 
 } // namespace
@@ -49,7 +49,15 @@
 wait_bounds bounds_of(const request_in_hand& hand, milliseconds serving_time, double longest_objectives)
 {
     const milliseconds longest{static_cast<milliseconds::rep>(to_ms(hand.way.objective) * longest_objectives)};
-    return {hand.arrived + hand.way.objective - serving_time, hand.arrived + longest};
+    const milliseconds may_wait = std::max(hand.way.objective - serving_time, milliseconds{0});
+    return {hand.arrived + may_wait / 2, hand.arrived + may_wait, hand.arrived + longest};
+}
+
+lateness wait_bounds::at(time_point now) const
+{
+    if (now >= this->late_from)
+        return lateness::late;
+    return now >= this->hurried_from ? lateness::hurried : lateness::fresh;
 }
 
 error reason_of(no_place cause)
@@ -71,12 +79,12 @@
     std::optional<no_place> missing;
     while (true) {
         const time_point now = runtime_clock::now();
-        if (!place.is_late && now >= bounds.late_from)
-            place = line.fall_back(place);
+        if (const lateness late = bounds.at(now); late != place.late)
+            place = line.fall_back(place, late);
         missing = no_place::full;
         if (may_look(context, hand, line, place, now)) {
             place_search search{avoided, context.draw(), line.before(place), context.are_loads_fresh};
-            search.left_to_others += context.load.heads_before({hand.service, place.is_late, place.since}, now);
+            search.left_to_others += context.load.heads_before({hand.service, place.late, place.since}, now);
             missing = find(search);
         }
         if (!missing || *missing == no_place::no_endpoint || now >= bounds.give_up || hand.watch.is_caller_gone() ||
--- a/src/forward/place_wait.h
+++ b/src/forward/place_wait.h
@@ -8,13 +8,18 @@
 
 namespace radishstep::forward {
 
-/// How long a request may wait for a place, and from when on it can no longer meet its objective.
+/// How long a request may wait for a place, and from when on it is in a hurry or can no longer meet its
+/// objective.
 struct wait_bounds
 {
+    time_point hurried_from;
     time_point late_from;
     time_point give_up;
 
     bool operator==(const wait_bounds&) const = default;
+
+    /// Returns how late the request is at `now`.
+    lateness at(time_point now) const;
 };
 
 /// Returns the bounds of a request that needs `serving_time` once it has its place, and waits at most
--- a/src/forward/waiting_line.cpp
+++ b/src/forward/waiting_line.cpp
@@ -6,13 +6,13 @@
 
 waiting_line::ticket waiting_line::join(int priority, time_point now)
 {
-    return *this->tickets.insert(ticket{false, priority, now, this->next++}).first;
+    return *this->tickets.insert(ticket{lateness::fresh, priority, now, this->next++}).first;
 }
 
-waiting_line::ticket waiting_line::fall_back(const ticket& place)
+waiting_line::ticket waiting_line::fall_back(const ticket& place, lateness next)
 {
     this->tickets.erase(place);
-    return *this->tickets.insert(ticket{true, place.priority, place.since, place.number}).first;
+    return *this->tickets.insert(ticket{next, place.priority, place.since, place.number}).first;
 }
 
 void waiting_line::leave(const ticket& place)
--- a/src/forward/waiting_line.h
+++ b/src/forward/waiting_line.h
@@ -8,19 +8,21 @@
 #include <utility>
 
 #include "base/runtime_clock.h"
+#include "forward/lateness.h"
 
 namespace radishstep::forward {
 
 /// The order in which requests of one service get places. Those that can still be answered within
-/// their objective go first, since for the others a little more waiting changes nothing; among equals,
-/// the more urgent and then the earlier.
+/// their objective go first, since for the others a little more waiting changes nothing. Among those, the
+/// ones that have most of their time left: were the oldest always first, all would be served at a crest
+/// just when their time is over. Among equals, the more urgent and then the earlier.
 class waiting_line
 {
 public:
     /// A place in the line; smaller ones are served first.
     struct ticket
     {
-        bool is_late = false;
+        lateness late = lateness::fresh;
         int priority = 0;
         time_point since;
         std::uint64_t number = 0;
@@ -35,8 +37,8 @@
     /// Joins the line; priority 0 is the most urgent.
     ticket join(int priority, time_point now);
 
-    /// Puts a request that can no longer meet its objective behind those that can.
-    ticket fall_back(const ticket& place);
+    /// Puts a request whose objective has come nearer, or is over, behind those that have more time.
+    ticket fall_back(const ticket& place, lateness next);
 
     /// Leaves the line, served or not.
     void leave(const ticket& place);
--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -162,7 +162,8 @@
 // The first request in a host's line for a service.
 struct WaitingHead {
   1: string service_name
-  2: bool is_late
+  // How far its objective is gone: 0 fresh, 1 hurried, 2 late.
+  2: i32 lateness
   3: i32 age_ms
 }
 
--- a/tests/forward/test_choices.cpp
+++ b/tests/forward/test_choices.cpp
@@ -208,8 +208,8 @@
         const endpoint decoder = make_endpoint("d0", "llm", endpoint_phase::decode, 128);
         this->add(decoder);
         this->load.begin(decoder.incarnation(), {.calls = 8, .tokens = 32'000});
-        const waiting_head own{"llm", false, this->now - 100ms};
-        this->load.take_peer("host-2", {}, {{"llm", false, this->now - 300ms}}, this->now);
+        const waiting_head own{"llm", lateness::fresh, this->now - 100ms};
+        this->load.take_peer("host-2", {}, {{"llm", lateness::fresh, this->now - 300ms}}, this->now);
         const std::size_t before = this->load.heads_before(own, this->now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, before);
         CPPUNIT_ASSERT(this->chooser.choose_model(demand(), this->search(), this->now).has_value());
--- a/tests/forward/test_membership_and_budget.cpp
+++ b/tests/forward/test_membership_and_budget.cpp
@@ -10,6 +10,7 @@
 #include "forward/event_relay.h"
 #include "forward/fleet_load.h"
 #include "forward/forward_config.h"
+#include "forward/place_wait.h"
 #include "forward/request_rules.h"
 #include "forward/retry_budget.h"
 #include "forward/waiting_line.h"
@@ -37,6 +38,7 @@
     CPPUNIT_TEST(call_that_reached_nobody_costs_no_budget);
     CPPUNIT_TEST(on_time_requests_go_before_late_ones);
     CPPUNIT_TEST(crest_only_the_first_in_line_search);
+    CPPUNIT_TEST(crest_calls_that_can_be_on_time_keep_time_to_spare);
     CPPUNIT_TEST(late_requests_of_other_hosts_do_not_go_first);
     CPPUNIT_TEST(sums_of_loads_follow_every_word_and_silence);
     CPPUNIT_TEST(changes_of_a_table_add_up_to_it);
@@ -220,7 +222,7 @@
         const auto urgent = line.join(0, this->now + 2s);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, line.before(urgent));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, line.before(first));
-        first = line.fall_back(first);
+        first = line.fall_back(first, lateness::late);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, line.before(second));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, line.before(first));
         line.leave(second);
@@ -246,15 +248,43 @@
         CPPUNIT_ASSERT(line.may_search(waiting.front()));
     }
 
+    // Pattern: a crest brings twice as many calls as there are places. Served in the order of arrival, each
+    // would wait until its objective can just be met, and most would miss it.
+    void crest_calls_that_can_be_on_time_keep_time_to_spare()
+    {
+        constexpr milliseconds slack = 220ms;
+        waiting_line line;
+        std::vector<waiting_line::ticket> waiting;
+        int served = 0;
+        int with_time_to_spare = 0;
+        for (milliseconds at = 0ms; at < 3s; ++at) {
+            waiting.push_back(line.join(1, this->now + at));
+            for (auto& place : waiting) {
+                const wait_bounds bounds{place.since + slack / 2, place.since + slack, place.since + 4 * slack};
+                if (const lateness late = bounds.at(this->now + at); late != place.late)
+                    place = line.fall_back(place, late);
+            }
+            if (at.count() % 2 != 0)
+                continue;
+            const waiting_line::ticket first = *line.first();
+            line.leave(first);
+            std::erase(waiting, first);
+            ++served;
+            with_time_to_spare += this->now + at - first.since <= slack / 2 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(1'500, served);
+        CPPUNIT_ASSERT(with_time_to_spare > served * 9 / 10);
+    }
+
     // Pattern: each host has late requests; one that is on time anywhere goes before all of them.
     void late_requests_of_other_hosts_do_not_go_first()
     {
         fleet_load load;
-        load.take_peer("host-2", {}, {{"llm", true, this->now - 3s}}, this->now);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, load.heads_before({"llm", false, this->now}, this->now));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, load.heads_before({"llm", true, this->now}, this->now));
+        load.take_peer("host-2", {}, {{"llm", lateness::late, this->now - 3s}}, this->now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, load.heads_before({"llm", lateness::fresh, this->now}, this->now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, load.heads_before({"llm", lateness::late, this->now}, this->now));
         CPPUNIT_ASSERT(!load.has_on_time_head("llm", this->now));
-        load.take_peer("host-2", {}, {{"llm", false, this->now}}, this->now);
+        load.take_peer("host-2", {}, {{"llm", lateness::fresh, this->now}}, this->now);
         CPPUNIT_ASSERT(load.has_on_time_head("llm", this->now));
         CPPUNIT_ASSERT(!load.has_on_time_head("app", this->now));
     }
