Leave a decode engine that was overbooked while the prompt was read

At the time of the answer the host believed 27,000 to 37,000 tokens at engines of 27,485: other hosts had taken the same place during the reading. Ruled out: lost reports and wrong sizes (the belief was right by then).

Change: before the decode call the host looks once more, and goes to another engine when its own is overbooked and another has room.

--- a/src/forward/endpoint_chooser.cpp
+++ b/src/forward/endpoint_chooser.cpp
@@ -153,6 +153,12 @@
     return places;
 }
 
+bool endpoint_chooser::is_overbooked(const endpoint& at, const model_demand& demand, time_point now) const
+{
+    const endpoint_load there = this->load.at(at.incarnation(), now);
+    return there.calls > 1 && (there.calls > at.slots || there.tokens > demand.memory_tokens);
+}
+
 double endpoint_chooser::decoding_ms(const endpoint& at, const endpoint_load& there, time_point now) const
 {
     const std::string incarnation = at.incarnation();
--- a/src/forward/endpoint_chooser.h
+++ b/src/forward/endpoint_chooser.h
@@ -96,6 +96,9 @@
     tl::expected<model_places, no_place> choose_decoder(const model_demand& demand, const std::string& reader_zone,
                                                         const place_search& search, time_point now) const;
 
+    /// Returns whether the work that all hosts have placed at a decode engine is more than it can hold.
+    bool is_overbooked(const endpoint& at, const model_demand& demand, time_point now) const;
+
     /// Returns how long the prompt would wait and be read at a prefill engine.
     milliseconds reading_time(const endpoint& at, std::int64_t prompt_tokens, time_point now) const;
 
--- a/src/forward/model_forward.cpp
+++ b/src/forward/model_forward.cpp
@@ -131,6 +131,25 @@
     return this->context.chooser.choose_model(this->demand(), search, now);
 }
 
+/// While the prompt was read, other hosts may have taken the same place without knowing of each other; the
+/// engine would reject whoever comes last.
+void model_forward::leave_overbooked_engine(reserved_places& reserved)
+{
+    const time_point now = runtime_clock::now();
+    const endpoint before = reserved.places.decode;
+    if (!this->has_kept_prompt() || !this->context.chooser.is_overbooked(before, this->demand(), now))
+        return;
+    avoided_endpoints others = this->avoided;
+    others.insert(before.incarnation());
+    const place_search search{others, this->context.draw(), 0, this->context.are_loads_fresh};
+    auto found = this->context.chooser.choose_decoder(this->demand(), this->read->zone, search, now);
+    log_decision("overbooked", {{"request", this->hand.asked.id},
+                                {"endpoint", before.id},
+                                {"instead", found ? found->decode.id : "none has room"}});
+    if (found)
+        reserved = this->hold(std::move(*found));
+}
+
 std::int64_t model_forward::tokens_per_event() const
 {
     const service* known = this->context.config->find_service(this->hand.service);
@@ -152,6 +171,7 @@
     }
     if (this->hand.watch.is_caller_gone())
         co_return next_step::try_again;
+    this->leave_overbooked_engine(reserved);
     if (!this->may_send(this->decode_arrivals))
         co_return next_step::done;
     co_return co_await this->decode_at(reserved.places.decode, *reserved.decoding);
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -123,6 +123,7 @@
         this->is_changed = false;
         const std::string report = this->encode_report(now);
         this->last_sent = now;
+        count("radishstep_forward_report_bytes_total", {}, static_cast<double>(report.size() * this->peers.size()));
         for (const auto& [name, address] : this->peers) {
             // A datagram that the network does not take is as good as lost; the next one makes it good.
             boost::system::error_code failure;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -47,6 +47,14 @@
     return fail(error_kind::connection_lost, failure.message(), "see the endpoint's own log");
 }
 
+tl::unexpected<error> unreachable(const std::string& address, const error_code& failure)
+{
+    const bool is_refused = failure == asio::error::connection_refused;
+    return fail(is_refused ? error_kind::connection_refused : error_kind::not_sent,
+                "cannot reach " + address + ": " + failure.message(),
+                "start the endpoint or take it out of the configuration");
+}
+
 beast::http::request<beast::http::string_body> to_beast(const std::string& address, request asked)
 {
     beast::http::request<beast::http::string_body> message;
@@ -180,10 +188,7 @@
         fresh->stream.expires_after(options.connect_time);
         co_await fresh->stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, failure));
         if (failure)
-            co_return fail(failure == asio::error::connection_refused ? error_kind::connection_refused
-                                                                      : error_kind::not_sent,
-                           "cannot reach " + address + ": " + failure.message(),
-                           "start the endpoint or take it out of the configuration");
+            co_return unreachable(address, failure);
         detect_dead_peer(fresh->stream.socket());
         co_return fresh;
     }
--- a/tests/forward/test_choices.cpp
+++ b/tests/forward/test_choices.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(crest_engines_that_are_down_do_not_count_as_free);
     CPPUNIT_TEST(all_engines_are_used_when_most_seem_down);
     CPPUNIT_TEST(word_of_a_crashed_engine_keeps_all_hosts_off_it);
+    CPPUNIT_TEST(crest_engine_that_two_hosts_chose_is_seen_as_overbooked);
     CPPUNIT_TEST(slowed_endpoint_gets_less);
     CPPUNIT_TEST(endpoint_recovers_its_share_after_a_while);
     CPPUNIT_TEST(full_endpoints_make_calls_wait);
@@ -146,6 +147,26 @@
         CPPUNIT_ASSERT(first.seen_down(this->now + endpoint_health::down_word_time).empty());
     }
 
+    // Pattern: a crest; while one host has its prompt read, another takes the same decode engine's last room.
+    void crest_engine_that_two_hosts_chose_is_seen_as_overbooked()
+    {
+        this->add_decoders(2);
+        const model_demand wanted = demand();
+        this->load.begin("d1@0", {.calls = 1, .tokens = 6'000});
+        this->load.begin("d0@0", {.calls = 10, .tokens = 36'000});
+        const auto chosen = this->chooser.choose_model(wanted, this->search(), this->now);
+        CPPUNIT_ASSERT(chosen && chosen->decode.id == "d1");
+        this->load.begin("d1@0", {.calls = 1, .tokens = wanted.prompt_memory()});
+        CPPUNIT_ASSERT(!this->chooser.is_overbooked(chosen->decode, wanted, this->now));
+        this->load.take_peer("host-2", {{"d1@0", {.calls = 9, .tokens = 30'000}}}, {}, this->now);
+        CPPUNIT_ASSERT(this->chooser.is_overbooked(chosen->decode, wanted, this->now));
+        this->load.end("d0@0", {.calls = 8, .tokens = 30'000});
+        const avoided_endpoints overbooked{"d1@0"};
+        const place_search search{overbooked, 0.4, 0, true};
+        const auto instead = this->chooser.choose_decoder(wanted, "a", search, this->now);
+        CPPUNIT_ASSERT(instead && instead->decode.id == "d0");
+    }
+
     void slowed_endpoint_gets_less()
     {
         const endpoint slow = make_endpoint("p0", "app", endpoint_phase::whole, 6);
--- a/tests/forward/test_membership_and_budget.cpp
+++ b/tests/forward/test_membership_and_budget.cpp
@@ -230,13 +230,15 @@
         CPPUNIT_ASSERT(line.first() == first);
     }
 
-    // Pattern: a crest on a small host. With fifty that wait, fifty searches every few milliseconds keep it
-    // from noticing callers that leave and endpoints that drain.
+    // Pattern: a crest on a small host. Of fifty that wait, those behind would search for nothing every few
+    // milliseconds.
     void crest_only_the_first_in_line_search()
     {
         waiting_line line;
+        constexpr int waiting_calls = 50;
         std::vector<waiting_line::ticket> waiting;
-        for (int i = 0; i < 50; ++i)
+        waiting.reserve(waiting_calls);
+        for (int i = 0; i < waiting_calls; ++i)
             waiting.push_back(line.join(1, this->now + milliseconds{i}));
         const auto searching = [&] {
             return std::ranges::count_if(waiting, [&](const auto& place) { return line.may_search(place); });
