Look at the decode engine once more before its call; fewer calls to a failing store

Cause 1: a prompt takes up to a second to read at a crest; its decode engine may begin to drain meanwhile and was called all the same. The host looks whether the engine still takes work. The new process test found calls at the draining engine before. The longest pause is now 1.2 s, within the two seconds in which endpoints come back. Changes of endpoints are gathered for a fifth of the deployment's own drain bound.

--- a/src/forward/endpoint_directory.cpp
+++ b/src/forward/endpoint_directory.cpp
@@ -1,5 +1,6 @@
 #include "forward/endpoint_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace radishstep::forward {
@@ -71,6 +72,13 @@
     return found;
 }
 
+bool endpoint_directory::takes_work(const endpoint& at) const
+{
+    return std::ranges::any_of(this->known, [&at](const auto& entry) {
+        return entry.second.incarnation() == at.incarnation() && !entry.second.is_draining;
+    });
+}
+
 bool endpoint_directory::is_in_grace(time_point now) const
 {
     return this->is_source_away || (this->regained_at && now < *this->regained_at + return_time);
--- a/src/forward/endpoint_directory.h
+++ b/src/forward/endpoint_directory.h
@@ -41,6 +41,9 @@
     /// Returns the endpoints of a service that take new work.
     std::vector<const endpoint*> usable(const std::string& service) const;
 
+    /// Returns whether this incarnation is known and takes new work.
+    bool takes_work(const endpoint& at) const;
+
     /// Returns all entries by their keys.
     const std::map<std::string, endpoint>& entries() const { return this->known; }
 
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -30,7 +30,7 @@
 /// How long changes may go unseen while others are gathered with them: a tenth of the published bound for
 /// configurations, a fifth of the one for draining endpoints. Hosts come and go in tens of seconds.
 constexpr milliseconds config_batch{200};
-constexpr milliseconds endpoints_batch{400};
+constexpr int endpoint_batches_in_drain_bound = 5;
 constexpr milliseconds hosts_batch{1'000};
 
 /// How often endpoints that vanished during an outage are looked through, and old records dropped.
@@ -173,7 +173,7 @@
         this->watches.push_back(std::make_unique<watched_prefix>(this->store, prefix, batch, std::move(hooks)));
     };
     watch(this->documents.config_key, config_batch, config);
-    watch(this->documents.endpoints_prefix, endpoints_batch, endpoints);
+    watch(this->documents.endpoints_prefix, this->settings.drain_bound / endpoint_batches_in_drain_bound, endpoints);
     watch(own_prefix, hosts_batch, peers);
     for (const auto& watched : this->watches)
         spawn(this->io, watched->run());
--- a/src/forward/gateway_settings.h
+++ b/src/forward/gateway_settings.h
@@ -26,6 +26,8 @@
     retry_limits retries;
     /// From the request to stop until the process is killed.
     milliseconds grace{8'000};
+    /// From an endpoint's word that it drains until no new work may reach it.
+    milliseconds drain_bound{2'000};
     /// How long one host must have given no orders before another may.
     milliseconds between_holders{3'000};
     /// The shortest lease of the key-value service.
--- a/src/forward/model_forward.cpp
+++ b/src/forward/model_forward.cpp
@@ -131,14 +131,17 @@
     return this->context.chooser.choose_model(this->demand(), search, now);
 }
 
-/// While the prompt was read, other hosts may have taken the same place without knowing of each other; the
-/// engine would reject whoever comes last.
-void model_forward::leave_overbooked_engine(reserved_places& reserved)
+/// While the prompt was read, the decode engine may have begun to drain, or other hosts may have taken the same
+/// place without knowing of each other; the engine would reject whoever comes last. Returns false when the
+/// request has to look for another place.
+bool model_forward::confirm_engine(reserved_places& reserved)
 {
     const time_point now = runtime_clock::now();
     const endpoint before = reserved.places.decode;
+    if (!this->context.directory.takes_work(before))
+        return false;
     if (!this->has_kept_prompt() || !this->context.chooser.is_overbooked(before, this->demand(), now))
-        return;
+        return true;
     avoided_endpoints others = this->avoided;
     others.insert(before.incarnation());
     const place_search search{others, this->context.draw(), 0, this->context.are_loads_fresh};
@@ -148,6 +151,7 @@
                                 {"instead", found ? found->decode.id : "none has room"}});
     if (found)
         reserved = this->hold(std::move(*found));
+    return true;
 }
 
 std::int64_t model_forward::tokens_per_event() const
@@ -171,7 +175,8 @@
     }
     if (this->hand.watch.is_caller_gone())
         co_return next_step::try_again;
-    this->leave_overbooked_engine(reserved);
+    if (!this->confirm_engine(reserved))
+        co_return next_step::try_again;
     if (!this->may_send(this->decode_arrivals))
         co_return next_step::done;
     co_return co_await this->decode_at(reserved.places.decode, *reserved.decoding);
--- a/src/forward/model_forward.h
+++ b/src/forward/model_forward.h
@@ -50,7 +50,7 @@
     boost::asio::awaitable<tl::expected<reserved_places, error>> reserve();
     tl::expected<model_places, no_place> look_for_places(const place_search& search);
     reserved_places hold(model_places places);
-    void leave_overbooked_engine(reserved_places& reserved);
+    bool confirm_engine(reserved_places& reserved);
     model_demand demand() const;
     std::int64_t tokens_per_event() const;
 
--- a/src/keyvalue/watched_prefix.h
+++ b/src/keyvalue/watched_prefix.h
@@ -33,9 +33,10 @@
     /// How long a watch waits for news: the longest that the service allows, since each call has its
     /// price. A connection that went silent is found by its keep-alive probes.
     static constexpr milliseconds watch_time{25'000};
-    /// Pause after the first failed call, and the longest one.
+    /// Pause after the first failed call, and the longest one: refused calls have their price too, and after
+    /// an outage hosts are to be up to date within the two seconds in which endpoints come back.
     static constexpr milliseconds first_pause{60};
-    static constexpr milliseconds longest_pause{600};
+    static constexpr milliseconds longest_pause{1'200};
 
     /// `batch_pause` passes between news and the next watch, so that changes that come together cost one call.
     watched_prefix(key_value_source& source, std::string prefix, milliseconds batch_pause, prefix_hooks hooks);
--- a/tests/platform/test_streams.cpp
+++ b/tests/platform/test_streams.cpp
@@ -1,5 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <future>
+#include <vector>
+
 #include "platform_site.h"
 
 namespace {
@@ -18,6 +21,7 @@
     CPPUNIT_TEST(stream_goes_on_at_another_engine_after_its_last_whole_event);
     CPPUNIT_TEST(lapsed_prompt_costs_no_request);
     CPPUNIT_TEST(read_prompt_is_offered_to_a_second_decode_engine);
+    CPPUNIT_TEST(prompt_read_while_its_engine_begins_to_drain_goes_elsewhere);
     CPPUNIT_TEST(full_engines_refuse_truthfully);
     CPPUNIT_TEST(callers_leaving_stops_the_stream);
     CPPUNIT_TEST(surplus_prefill_engine_is_ordered_to_decode_once);
@@ -119,6 +123,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, this->site->engine("r0").calls().size());
     }
 
+    void prompt_read_while_its_engine_begins_to_drain_goes_elsewhere()
+    {
+        this->start(1, 2);
+        this->site->engine("r0").set_work_time(700ms);
+        std::vector<std::future<site_answer>> streams;
+        for (int i = 0; i < 6; ++i)
+            streams.push_back(std::async(std::launch::async, [this, i] {
+                site_request wish;
+                wish.path = "/resume/1";
+                wish.id = "attempt-" + std::to_string(i);
+                wish.more = {{"Model", "m"}, {"Token-Count", "800,100"}, {"Prefix-Hash", "a:200,b:600"}};
+                caller own;
+                return own.wait(call_gateway(this->site->callers_address(), wish));
+            }));
+        std::this_thread::sleep_for(150ms);
+        standin_engine& leaving = this->site->engine("d0");
+        this->site->store->put(leaving.key(), leaving.entry("draining"));
+        for (auto& got : streams)
+            CPPUNIT_ASSERT(got.get().is_whole);
+        CPPUNIT_ASSERT(leaving.calls().empty());
+        CPPUNIT_ASSERT_EQUAL(6, this->site->engine("d1").runs());
+    }
+
     void full_engines_refuse_truthfully()
     {
         this->start(1, 2);
