--- a/tests/platform/test_streams.cpp
+++ b/tests/platform/test_streams.cpp
@@ -127,23 +127,26 @@
     {
         this->start(1, 2);
         this->site->engine("r0").set_work_time(700ms);
+        constexpr int callers = 6;
         std::vector<std::future<site_answer>> streams;
-        for (int i = 0; i < 6; ++i)
-            streams.push_back(std::async(std::launch::async, [this, i] {
-                site_request wish;
-                wish.path = "/resume/1";
-                wish.id = "attempt-" + std::to_string(i);
-                wish.more = {{"Model", "m"}, {"Token-Count", "800,100"}, {"Prefix-Hash", "a:200,b:600"}};
-                caller own;
-                return own.wait(call_gateway(this->site->callers_address(), wish));
-            }));
+        streams.reserve(callers);
+        const auto ask = [this](int number) {
+            site_request wish;
+            wish.path = "/resume/1";
+            wish.id = "attempt-" + std::to_string(number);
+            wish.more = {{"Model", "m"}, {"Token-Count", "800,100"}, {"Prefix-Hash", "a:200,b:600"}};
+            caller own;
+            return own.wait(call_gateway(this->site->callers_address(), wish));
+        };
+        for (int i = 0; i < callers; ++i)
+            streams.push_back(std::async(std::launch::async, ask, i));
         std::this_thread::sleep_for(150ms);
         standin_engine& leaving = this->site->engine("d0");
         this->site->store->put(leaving.key(), leaving.entry("draining"));
         for (auto& got : streams)
             CPPUNIT_ASSERT(got.get().is_whole);
         CPPUNIT_ASSERT(leaving.calls().empty());
-        CPPUNIT_ASSERT_EQUAL(6, this->site->engine("d1").runs());
+        CPPUNIT_ASSERT_EQUAL(callers, this->site->engine("d1").runs());
     }
 
     void full_engines_refuse_truthfully()
