Fuzz the decoders of platform/ and the hosts' reports

Cause: the parsers of the platform's documents, of callers' headers and of peers' datagrams had example cases only.

--- a/tests/fuzz/main.cpp
+++ b/tests/fuzz/main.cpp
@@ -1,7 +1,10 @@
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <iterator>
 #include <random>
 
+#include "../platform/fuzz_decoders.h"
 #include "targets.h"
 
 namespace {
@@ -48,7 +51,9 @@
 int main()
 {
     std::mt19937_64 random{seed};
-    for (const fuzz_target& target : fuzz_targets()) {
+    std::vector<fuzz_target> targets = fuzz_targets();
+    std::ranges::move(platform_fuzz_targets(), std::back_inserter(targets));
+    for (const fuzz_target& target : targets) {
         std::string current = target.seeds.front();
         for (int i = 0; i < inputs_per_target; ++i) {
             if (i % 20 == 0)
--- /dev/null
+++ b/tests/platform/fuzz_decoders.cpp
@@ -0,0 +1,137 @@
+#include "fuzz_decoders.h"
+
+#include <algorithm>
+
+#include "forward/event_relay.h"
+#include "platform/node_settings.h"
+#include "platform/site_dialect.h"
+#include "platform/site_documents.h"
+#include "platform/store_client.h"
+#include "wire/codec.h"
+#include "wire/generated/radishstep_types.h"
+
+namespace radishstep::testing {
+
+namespace {
+
+void decode_config(std::string_view bytes)
+{
+    if (const auto config = platform::decode_config(std::string{bytes}))
+        static_cast<void>(config->find_route("h.example", "/a/b"));
+}
+
+void decode_entry(std::string_view bytes)
+{
+    static_cast<void>(platform::decode_endpoint("servers/i-1", std::string{bytes}));
+}
+
+void decode_store_answer(std::string_view bytes)
+{
+    static_cast<void>(platform::decode_range_page(std::string{bytes}));
+    static_cast<void>(platform::decode_watch(std::string{bytes}));
+}
+
+void decode_settings(std::string_view bytes)
+{
+    static_cast<void>(platform::decode_node_settings(std::string{bytes}));
+}
+
+/// Each line is a header of a caller's request and of an engine's answer.
+void decode_headers(std::string_view bytes)
+{
+    const platform::site_dialect dialect;
+    http::request asked;
+    http::response answer;
+    answer.status = 200;
+    while (!bytes.empty()) {
+        const std::string_view line = bytes.substr(0, bytes.find('\n'));
+        bytes.remove_prefix(std::min(bytes.size(), line.size() + 1));
+        const std::size_t colon = line.find(": ");
+        if (colon == std::string_view::npos)
+            continue;
+        const http::header header{std::string{line.substr(0, colon)}, std::string{line.substr(colon + 2)}};
+        asked.lines.push_back(header);
+        answer.lines.push_back(header);
+    }
+    answer.body = asked.lines.empty() ? "" : asked.lines.back().value;
+    const auto request = dialect.read_request(asked);
+    if (!request)
+        return;
+    forward::endpoint at;
+    at.address = "10.0.0.1:80";
+    static_cast<void>(dialect.decode_call(*request, at, milliseconds{100}, std::nullopt, request->last_event));
+    static_cast<void>(dialect.judge(*request, answer));
+    static_cast<void>(dialect.read_prefill(at, answer));
+    static_cast<void>(dialect.caller_head(answer));
+}
+
+void decode_load_report(std::string_view bytes)
+{
+    static_cast<void>(wire::decode_load_report(bytes));
+}
+
+void relay_events(std::string_view bytes)
+{
+    forward::event_relay relay{1};
+    static_cast<void>(relay.push(bytes.substr(0, bytes.size() / 3)));
+    static_cast<void>(relay.push(bytes.substr(bytes.size() / 3)));
+    static_cast<void>(relay.take_rest());
+}
+
+std::string sample_report()
+{
+    wire::EndpointLoad load;
+    load.endpoint = "i-1@1";
+    load.calls = 1;
+    wire::WaitingHead head;
+    head.service_name = "llm";
+    wire::DownEndpoint down;
+    down.endpoint = "i-2@1";
+    wire::BudgetUse used;
+    used.service_name = "llm";
+    wire::LoadReport report;
+    report.host = "host-1";
+    report.loads = {load};
+    report.heads = {head};
+    report.down = {down};
+    report.budget = {used};
+    return wire::encode(report);
+}
+
+} // namespace
+
+std::vector<fuzz_target> platform_fuzz_targets()
+{
+    return {
+        {"site config",
+         decode_config,
+         {R"({"version":7,"routes":[{"name":"r1","host":"h.example","prefix":"/a/","type":"streaming","timeout_ms":14000,)"
+          R"("service":"llm","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300},)"
+          R"({"name":"r2","host":"h","prefix":"/b/","type":"safe","timeout_ms":9,"backends":[{"service":"o","weight":9}]}],)"
+          R"("services":[{"name":"llm","engine":{"kv_capacity":38411,"stride":13,"handle_ttl_s":0.5}}],)"
+          R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304}})"}},
+        {"site entry",
+         decode_entry,
+         {R"({"service":"llm","address":"10.0.0.1:80","zone":"a","slots":6,"state":"ready","phase":"decode","born":1})",
+          R"({"service":"app","address":"10.0.0.2:80","zone":"b","slots":6,"state":"draining","sequence":4,"born":2})"}},
+        {"site store",
+         decode_store_answer,
+         {R"({"items":[{"key":"servers/i-1","value":"e30=","revision":4,"created":4,"lease":0}],"truncated":true,)"
+          R"("current_rev":9})",
+          R"({"events":[{"key":"servers/i-1","revision":5,"deleted":true}],"current_rev":9})"}},
+        {"site settings",
+         decode_settings,
+         {R"({"node_name":"n","zone":"z","ip":"10.0.0.1","listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},)"
+          R"("internal_ports":[7380,7395],"platform":{"address":"10.0.0.9:1","ttl_min_ms":1000},)"
+          R"("bounds":{"retry_budget_ratio":0.2,"budget_window_s":10,"retry_budget_slack":5,"grace_s":8}})"}},
+        {"site headers",
+         decode_headers,
+         {"Host: h\nAttempt-Id: 1\nDeadline-Ms: 900\nToken-Count: 1460,80\nLength-Hint: 70\nLast-Event-Id: 4\n"
+          "Connection: keep-alive, X-Own\nX-Own: 1\nServer-Signature: s\nRetry-After: 0.5\n"
+          "Body: {\"handle\":\"h\",\"tokens\":1460,\"version\":1}"}},
+        {"load report", decode_load_report, {sample_report()}},
+        {"event relay", relay_events, {"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"}},
+    };
+}
+
+} // namespace radishstep::testing
