Log when an endpoint is believed to be down, and on whose word

Cause: a host that kept off an endpoint on another host's word left no line of it. Change: state=endpoint_down with the endpoint, the host that saw it and the age of its word, once for each time it is news.

--- a/src/forward/endpoint_health.cpp
+++ b/src/forward/endpoint_health.cpp
@@ -42,17 +42,21 @@
     }
 }
 
-void endpoint_health::note_down(const std::string& incarnation, time_point now)
+bool endpoint_health::note_down(const std::string& incarnation, time_point now)
 {
+    const bool is_news = !this->is_avoided(incarnation, now);
     this->record(incarnation, call_outcome::unreachable, now);
     this->records[incarnation].seen_down = now;
+    return is_news;
 }
 
-void endpoint_health::take_down_word(const down_endpoint& word)
+bool endpoint_health::take_down_word(const down_endpoint& word, time_point now)
 {
+    const bool is_news = !this->is_avoided(word.incarnation, now);
     record_of& known = this->records[word.incarnation];
     known.last = std::max(known.last, word.seen);
     known.avoided_until = std::max(known.avoided_until, word.seen + down_word_time);
+    return is_news;
 }
 
 std::vector<down_endpoint> endpoint_health::seen_down(time_point now, time_point since) const
--- a/src/forward/endpoint_health.h
+++ b/src/forward/endpoint_health.h
@@ -44,11 +44,11 @@
     /// Counts an outcome.
     void record(const std::string& incarnation, call_outcome outcome, time_point now);
 
-    /// Counts that the endpoint was seen to be down.
-    void note_down(const std::string& incarnation, time_point now);
+    /// Counts that the endpoint was seen to be down. Returns whether that is news.
+    bool note_down(const std::string& incarnation, time_point now);
 
-    /// Takes another host's word that an endpoint is down.
-    void take_down_word(const down_endpoint& word);
+    /// Takes another host's word that an endpoint is down. Returns whether that is news.
+    bool take_down_word(const down_endpoint& word, time_point now);
 
     /// Returns what this host itself saw to be down lately, and not before `since`.
     std::vector<down_endpoint> seen_down(time_point now, time_point since = {}) const;
--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "base/log.h"
+
 namespace radishstep::forward {
 
 forward_context::forward_context(const boost::asio::any_io_executor& executor, const forward_dialect& dialect,
@@ -34,7 +36,8 @@
 
 void forward_context::note_down(const std::string& incarnation)
 {
-    this->health.note_down(incarnation, runtime_clock::now());
+    if (this->health.note_down(incarnation, runtime_clock::now()))
+        log_state("endpoint_down", {{"endpoint", incarnation}, {"seen_by", "this host"}});
     this->note_change(true);
 }
 
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -220,8 +220,12 @@
     std::vector<waiting_head> others;
     for (const wire::WaitingHead& head : report->heads)
         others.push_back({head.service_name, to_lateness(head.lateness), now - milliseconds{head.age_ms}});
-    for (const wire::DownEndpoint& row : report->down)
-        this->health.take_down_word({row.endpoint, now - milliseconds{std::max(row.age_ms, 0)}});
+    for (const wire::DownEndpoint& row : report->down) {
+        const milliseconds age{std::max(row.age_ms, 0)};
+        if (this->health.take_down_word({row.endpoint, now - age}, now))
+            log_state("endpoint_down",
+                      {{"endpoint", row.endpoint}, {"seen_by", report->host}, {"age_ms", std::to_string(age.count())}});
+    }
     budget_table used;
     for (const wire::BudgetUse& row : report->budget)
         used[row.service_name] = {row.requests, row.extra_calls};
--- a/tests/forward/test_choices.cpp
+++ b/tests/forward/test_choices.cpp
@@ -136,10 +136,12 @@
     void word_of_a_crashed_engine_keeps_all_hosts_off_it()
     {
         endpoint_health first;
-        first.note_down("d0@0", this->now);
+        CPPUNIT_ASSERT(first.note_down("d0@0", this->now));
+        CPPUNIT_ASSERT(!first.note_down("d0@0", this->now));
         const auto told = first.seen_down(this->now + 20ms);
         CPPUNIT_ASSERT(told == std::vector<down_endpoint>({{"d0@0", this->now}}));
-        this->health.take_down_word(told.front());
+        CPPUNIT_ASSERT(this->health.take_down_word(told.front(), this->now + 20ms));
+        CPPUNIT_ASSERT(!this->health.take_down_word(told.front(), this->now + 20ms));
         CPPUNIT_ASSERT(this->health.is_avoided("d0@0", this->now + 20ms));
         // What was only heard is not told again, or such a word would never end.
         CPPUNIT_ASSERT(this->health.seen_down(this->now + 20ms).empty());
