Let no started process hold the test site's sockets

When the store then reset its connections, the kernel sent nothing: another process still held them. Hosts 0 and 2 waited on for their 25 s. A stand-in that logs the beginning and end of each call showed the two watches ended by the reset, with no new call of those hosts after it, and the restart half a second before.

Ruled out: the stand-in's coroutines (they ended), the gateway's client (it never got the reset), a swallowed watch, load.

Change: the child closes what it inherited when it starts its program.

--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -1,6 +1,7 @@
 #include "process.h"
 
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -32,6 +33,8 @@
     const int log = open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    // A child that kept the test's sockets would hold open what the test closes or resets.
+    close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     execv(path.c_str(), argv.data());
     _exit(127);
 }
