Soak: older configurations, cancellation and the retry budget have checks of their own

Change: checks after the seeded part; bodies that tell answers apart; two endpoints for that route. No check was weakened.

--- a/tests/platform/platform_site.cpp
+++ b/tests/platform/platform_site.cpp
@@ -191,7 +191,7 @@
 {
     json routes = json::array();
     routes.push_back(route("/plain/", "safe", "app", 2));
-    routes.push_back(route("/once/", "unsafe", "app", 1));
+    routes.push_back(route("/once/", "unsafe", "app", 2));
     routes.push_back(route("/stream/", "streaming", "llm", 1));
     routes.push_back(route("/resume/", "streaming", "llm", 2));
     if (!extra_prefix.empty())
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -208,7 +208,12 @@
         co_return false;
     }
     const http::headers lines = this->head_of(call);
-    const std::string body = "whole answer of " + this->id;
+    // Answers that must not go on are told apart by their bodies: the gateway writes the heads itself.
+    std::string body = "whole answer of " + this->id;
+    if (now == engine_fault::wrong_id)
+        body = "answer to another call";
+    if (now == engine_fault::no_signature)
+        body = "answer without a signature";
     if (now == engine_fault::error_500)
         co_return co_await caller.write(http_answer(failed, lines, "engine failure"));
     std::string bytes = http_answer(ok, lines, body);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -57,7 +57,10 @@
     this->check_runs();
     this->check_budget();
     this->check_config();
+    this->check_older_config();
     this->check_drain();
+    this->check_cancellation();
+    this->check_retries();
     if (!this->findings.empty())
         this->findings.push_back("the hosts' logs are kept in " + this->site.keep_files());
     return this->findings;
@@ -313,6 +316,69 @@
         this->broken("a draining endpoint got new work");
 }
 
+void soak_run::check_older_config()
+{
+    constexpr auto in_force = 2s;
+    const std::string newest = "/added-" + std::to_string(this->version) + "/1";
+    this->site.write_config(this->version - 1, "/older/");
+    std::this_thread::sleep_for(in_force);
+    caller calls;
+    for (int i = 0; i < this->plan.hosts; ++i) {
+        const std::string address = this->site.callers_address(static_cast<std::size_t>(i));
+        site_request wish;
+        wish.id = "probe-older";
+        wish.path = newest;
+        if (calls.wait(call_gateway(address, wish)).status != 200U)
+            this->broken("host " + std::to_string(i) + " went back to an older configuration");
+    }
+}
+
+/// Callers leave while the endpoints would work on without end.
+void soak_run::check_cancellation()
+{
+    for (const auto& [id, engine] : this->site.engines)
+        engine->set_fault(engine_fault::mute);
+    for (const char* path : {"/plain/", "/once/", "/stream/", "/resume/"}) {
+        site_request wish;
+        wish.id = std::string{"probe-leaves-"} + (path + 1);
+        wish.path = path + wish.id;
+        wish.leave_after = milliseconds{100};
+        if (is_stream(wish.path))
+            wish.more = {{"Model", "m"}, {"Token-Count", "800,100"}, {"Prefix-Hash", "a:200,b:600"}};
+        this->site.call(wish);
+    }
+    for (const auto& [id, engine] : this->site.engines) {
+        if (!wait_until([&] { return engine->active() == 0; }, 1s))
+            this->broken("endpoint " + id + " works on a second after its caller has left");
+        engine->set_fault(engine_fault::none);
+    }
+}
+
+/// Every call fails at its endpoint and might be repeated; only the budget says no.
+void soak_run::check_retries()
+{
+    // The settings' window, ratio and slack; what the callers did before is outside the window by then.
+    constexpr auto window = 10s;
+    constexpr int probes = 200;
+    constexpr int allowed = probes / 5 + 20;
+    std::this_thread::sleep_for(window);
+    for (const auto& [id, engine] : this->site.engines)
+        engine->set_fault(engine_fault::error_500);
+    for (int i = 0; i < probes; ++i) {
+        site_request wish;
+        wish.id = "probe-retry-" + std::to_string(i);
+        wish.path = "/plain/" + wish.id;
+        this->site.call(wish);
+    }
+    int arrived = 0;
+    for (const auto& [id, engine] : this->site.engines) {
+        for (const engine_call& call : engine->calls())
+            arrived += call.id.starts_with("probe-retry-") ? 1 : 0;
+    }
+    if (arrived < probes || arrived > probes + allowed)
+        this->broken(std::to_string(arrived) + " calls for " + std::to_string(probes) + " failing requests");
+}
+
 void soak_run::broken(const std::string& what)
 {
     this->findings.push_back(what);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -54,6 +54,9 @@
     void check_recovery();
     void check_drain();
     void check_config();
+    void check_older_config();
+    void check_cancellation();
+    void check_retries();
     void broken(const std::string& what);
     int pick(int below);
 
