--- a/src/keyvalue/watched_prefix.cpp
+++ b/src/keyvalue/watched_prefix.cpp
@@ -47,6 +47,7 @@
     if (this->missed <= this->revision || this->is_lost ||
         now < this->missed_since + this->pace.batch_pause + usual_lag)
         return;
+    count("radishstep_keyvalue_changes_missed_total", {{"prefix", this->prefix}});
     log_problem("change_missed", {{"prefix", this->prefix},
                                   {"known", std::to_string(this->revision)},
                                   {"seen_elsewhere", std::to_string(this->missed)},
@@ -66,6 +67,7 @@
 
 asio::awaitable<bool> watched_prefix::read_all()
 {
+    count("radishstep_keyvalue_calls_total", {{"prefix", this->prefix}, {"call", "read"}});
     auto got = co_await this->source.read_all(this->prefix);
     if (!got) {
         co_await this->pause_after_failure(got.error());
@@ -86,6 +88,7 @@
 asio::awaitable<bool> watched_prefix::watch_once()
 {
     const milliseconds wait = std::exchange(this->is_quiet, false) ? watch_time : this->pace.first_watch;
+    count("radishstep_keyvalue_calls_total", {{"prefix", this->prefix}, {"call", "watch"}});
     auto got = co_await this->source.watch(this->prefix, this->revision, wait);
     if (!got) {
         // Changes may have been missed that a new watch would only tell of much later.
