Lend no retries: each host keeps to its equal part of the budget

Cause: an exploration of all orders in which three hosts spend, hear and miss each other's words broke the budget at once: what one host has left was lent to several that had not heard of each other, or of its own spending. A crest of failures on all hosts before the first word does the same.

Ruled out: quotas on borrowing a host and word. Words that are lost in one direction let a host borrow again on old ones; what is provably safe then is about one call a host in 1.5 s, less than its own part.

Change: lending goes, with the words it needed on the wire. Hosts that still report count when the list forgets them in an outage, or each would take a part that is too large.

--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -92,8 +92,7 @@
                  key_value_source& store, document_readers documents)
     : io(io), settings(std::move(settings)), store(store), documents(std::move(documents)),
       context(io.get_executor(), dialect, this->settings.zone),
-      peers(io.get_executor(), this->settings.host, this->context.load, this->context.health, this->context.budget,
-            this->own_peer_hooks()),
+      peers(io.get_executor(), this->settings.host, this->context.load, this->context.health, this->own_peer_hooks()),
       phases(this->context, this->store, this->settings), signals(io, SIGTERM, SIGINT, SIGHUP)
 {
     this->context.budget.configure(this->settings.retries, unknown_hosts);
@@ -297,8 +296,8 @@
         this->must_register = true;
     this->peers.set_peers(this->hosts);
     this->context.are_loads_fresh = this->peers.report_pause() <= fresh_pause;
-    this->context.budget.configure(this->settings.retries, this->hosts.size());
-    this->phases.note_hosts(this->hosts.size());
+    this->context.budget.configure(this->settings.retries, this->peers.known_hosts());
+    this->phases.note_hosts(this->peers.known_hosts());
 }
 
 asio::awaitable<void> gateway::stay_registered()
@@ -367,7 +366,7 @@
     log_state("settings_applied", {{"host", next.host}, {"zone", next.zone}});
     this->settings.retries = next.retries;
     this->settings.grace = next.grace;
-    this->context.budget.configure(next.retries, this->hosts.empty() ? unknown_hosts : this->hosts.size());
+    this->context.budget.configure(next.retries, this->hosts.empty() ? unknown_hosts : this->peers.known_hosts());
 }
 
 asio::awaitable<void> gateway::follow_settings()
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -51,9 +51,9 @@
 } // namespace
 
 peer_exchange::peer_exchange(const asio::any_io_executor& executor, std::string host, fleet_load& load,
-                             endpoint_health& health, retry_budget& budget, peer_hooks hooks)
+                             endpoint_health& health, peer_hooks hooks)
     // The time of day makes the sequence grow over restarts; within a process only its order counts.
-    : socket(executor), host(std::move(host)), load(load), health(health), budget(budget), hooks(std::move(hooks)),
+    : socket(executor), host(std::move(host)), load(load), health(health), hooks(std::move(hooks)),
       sequence(wall_clock_ms())
 {
 }
@@ -78,8 +78,8 @@
 void peer_exchange::set_peers(const std::map<std::string, std::string>& addresses)
 {
     const time_point now = runtime_clock::now();
-    std::erase_if(this->learned, [now](const auto& known) { return known.second < now; });
-    std::erase_if(this->peers, [this](const auto& known) { return !this->learned.contains(known.first); });
+    std::erase_if(this->heard, [now](const auto& known) { return known.second + heard_time < now; });
+    std::erase_if(this->peers, [this](const auto& known) { return !this->heard.contains(known.first); });
     for (const auto& [name, address] : addresses) {
         const auto parsed = http::parse_address(address);
         if (name == this->host)
@@ -94,11 +94,11 @@
 
 void peer_exchange::learn_peer(const std::string& name, const asio::ip::udp::endpoint& sender)
 {
+    this->heard[name] = runtime_clock::now();
     const auto known = this->peers.find(name);
     if (known != this->peers.end() && known->second == sender)
         return;
     this->peers.insert_or_assign(name, sender);
-    this->learned[name] = runtime_clock::now() + learned_time;
     log_state("peer_learned", {{"host", name}, {"address", sender.address().to_string()}});
 }
 
@@ -171,7 +171,6 @@
     for (const waiting_head& head : this->hooks.heads())
         report.heads.push_back(to_wire(head));
     this->add_loads(report);
-    this->add_budget(report, now);
     this->add_seen_changes(report);
     for (const down_endpoint& seen : this->health.seen_down(now, report.is_partial ? this->last_sent : time_point{})) {
         wire::DownEndpoint row;
@@ -197,21 +196,6 @@
         this->told_loads = own;
 }
 
-void peer_exchange::add_budget(wire::LoadReport& report, time_point now)
-{
-    budget_table used = this->budget.used(now);
-    for (const auto& [service, use] : used) {
-        if (report.is_partial && this->told_budget[service].extras == use.extras)
-            continue;
-        wire::BudgetUse row;
-        row.service_name = service;
-        row.requests = use.requests;
-        row.extra_calls = use.extras;
-        report.budget.push_back(std::move(row));
-    }
-    this->told_budget = std::move(used);
-}
-
 void peer_exchange::add_seen_changes(wire::LoadReport& report)
 {
     seen_changes seen = this->hooks.changes();
@@ -258,10 +242,6 @@
         seen[row.prefix] = row.revision;
     if (!seen.empty())
         this->hooks.on_changes(seen);
-    budget_table used;
-    for (const wire::BudgetUse& row : report->budget)
-        used[row.service_name] = {row.requests, row.extra_calls};
-    this->budget.take_word(report->host, used, now);
     if (report->is_partial)
         this->load.take_peer_changes(report->host, loads, std::move(others), now);
     else
--- a/src/forward/peer_exchange.h
+++ b/src/forward/peer_exchange.h
@@ -13,7 +13,6 @@
 #include "base/runtime_clock.h"
 #include "forward/endpoint_health.h"
 #include "forward/fleet_load.h"
-#include "forward/retry_budget.h"
 
 namespace radishstep::wire {
 class LoadReport;
@@ -24,7 +23,7 @@
 /// By prefix of the key-value service, the revision of the newest change that a host has seen.
 using seen_changes = std::map<std::string, std::int64_t>;
 
-/// What the reports tell of beside loads, health and budget, and who hears of it.
+/// What the reports tell of beside loads and health, and who hears of it.
 struct peer_hooks
 {
     /// Returns the first request of each line of this host.
@@ -53,21 +52,25 @@
     static constexpr milliseconds heartbeat{150};
     static constexpr int heartbeat_pauses = 3;
 
-    /// How long a host that reported is kept without standing on the list of hosts, which comes later.
-    static constexpr milliseconds learned_time{10'000};
+    /// How long a host that reported counts without standing on the list of hosts, which knows new hosts later and
+    /// forgets all of them when leases lapse in an outage.
+    static constexpr milliseconds heard_time{10'000};
 
     /// How often a host sends its whole table.
     static constexpr milliseconds whole_pause{1'000};
 
     peer_exchange(const boost::asio::any_io_executor& executor, std::string host, fleet_load& load,
-                  endpoint_health& health, retry_budget& budget, peer_hooks hooks);
+                  endpoint_health& health, peer_hooks hooks);
 
     /// Binds the socket, or returns what is wrong with the address.
     result<void> open(const std::string& address);
 
-    /// Takes the hosts to tell, as "IP:port" by their names; this host itself is left out.
+    /// Takes the list of hosts to tell, as "IP:port" by their names; this host itself is left out.
     void set_peers(const std::map<std::string, std::string>& addresses);
 
+    /// Returns how many hosts there are with this one, by the list and by their reports.
+    std::size_t known_hosts() const { return this->peers.size() + 1; }
+
     /// Returns the pause between reports.
     milliseconds report_pause() const;
 
@@ -86,7 +89,6 @@
 private:
     std::string encode_report(time_point now);
     void add_loads(wire::LoadReport& report);
-    void add_budget(wire::LoadReport& report, time_point now);
     void add_seen_changes(wire::LoadReport& report);
     void take_report(std::string_view bytes, const boost::asio::ip::udp::endpoint& sender);
     void learn_peer(const std::string& name, const boost::asio::ip::udp::endpoint& sender);
@@ -95,16 +97,14 @@
     std::string host;
     fleet_load& load;
     endpoint_health& health;
-    retry_budget& budget;
     peer_hooks hooks;
     std::map<std::string, boost::asio::ip::udp::endpoint> peers;
-    /// Hosts that reported before the list of hosts told of them, and until when they are kept without it.
-    std::map<std::string, time_point> learned;
+    /// When each host reported last.
+    std::map<std::string, time_point> heard;
     std::map<std::string, std::int64_t> newest;
     std::int64_t sequence;
     /// What the other hosts were told last.
     load_table told_loads;
-    budget_table told_budget;
     seen_changes told_changes;
     time_point last_sent;
     time_point last_whole;
--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -173,13 +173,6 @@
   2: i32 age_ms
 }
 
-// What a host did of a service's retry budget within its window.
-struct BudgetUse {
-  1: string service_name
-  2: i32 requests
-  3: i32 extra_calls
-}
-
 // The revision of the newest change that a host has seen under a prefix of the key-value service.
 struct SeenChange {
   1: string prefix
@@ -196,7 +189,6 @@
   4: list<WaitingHead> heads
   // Observed by the host itself lately.
   5: list<DownEndpoint> down
-  6: list<BudgetUse> budget
   7: bool is_partial
   8: list<SeenChange> seen
 }
