--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -61,6 +61,7 @@
     this->check_drain();
     this->check_cancellation();
     this->check_retries();
+    this->check_spoiled_answers();
     if (!this->findings.empty())
         this->findings.push_back("the hosts' logs are kept in " + this->site.keep_files());
     return this->findings;
@@ -379,6 +380,25 @@
         this->broken(std::to_string(arrived) + " calls for " + std::to_string(probes) + " failing requests");
 }
 
+/// All endpoints give answers that are not the call's own, or not whole.
+void soak_run::check_spoiled_answers()
+{
+    constexpr std::array faults{engine_fault::wrong_id, engine_fault::no_signature, engine_fault::cut_body,
+                                engine_fault::encoded};
+    for (const engine_fault fault : faults) {
+        for (const auto& [id, engine] : this->site.engines)
+            engine->set_fault(fault);
+        for (const char* path : {"/plain/", "/once/"}) {
+            site_request wish;
+            wish.id = "probe-spoiled-" + std::to_string(static_cast<int>(fault));
+            wish.path = path + wish.id;
+            const site_answer got = this->site.call(wish);
+            if (got.status == 200U && got.is_whole)
+                this->broken(wish.path + " got '" + got.body + "'");
+        }
+    }
+}
+
 void soak_run::broken(const std::string& what)
 {
     this->findings.push_back(what);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -57,6 +57,7 @@
     void check_older_config();
     void check_cancellation();
     void check_retries();
+    void check_spoiled_answers();
     void broken(const std::string& what);
     int pick(int below);
 
