Renew by the fleet's size, jittered, so that somebody notices each silence

Ruled out: load (three hosts, few calls), the harness (sockets are closed).

After a failed renewal the next comes within 1 s.

--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -1,6 +1,8 @@
 #include "forward/gateway.h"
 
+#include <algorithm>
 #include <csignal>
+#include <random>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,10 +26,13 @@
 
 /// How long a host counts after its last word to the key-value service.
 constexpr milliseconds registration_time{15'000};
-/// Pause between renewals: two of them may be lost. After one without an answer the next comes soon, since it
-/// tells when the service is back.
+/// Longest pause between renewals: two of them may be lost. Renewals also show that a silence has swallowed the
+/// watches; one host that finds out tells the others, so in a large fleet each may renew less often.
 constexpr milliseconds renewal_time{5'000};
-constexpr milliseconds renewal_time_after_failure{2'000};
+constexpr milliseconds renewal_time_of_small_fleet{2'000};
+constexpr milliseconds renewal_time_per_host{80};
+/// After a renewal without an answer the next comes soon, since it tells when the service is back.
+constexpr milliseconds renewal_time_after_failure{1'000};
 /// How soon a host registers again whose registration has vanished.
 constexpr milliseconds registration_poll{250};
 constexpr milliseconds registration_pause{500};
@@ -321,7 +326,7 @@
             }
             log_state("registered", {{"host", this->settings.host}, {"lease", std::to_string(lease)}});
         }
-        co_await this->pause_while_registered(was_unanswered ? renewal_time_after_failure : renewal_time);
+        co_await this->pause_while_registered(was_unanswered ? renewal_time_after_failure : this->renewal_pause());
         const auto renewed = co_await this->store.renew_lease(lease);
         if (renewed && std::exchange(was_unanswered, false)) {
             log_state("watches_renewed", {{"cause", "the key-value service answers again"}});
@@ -341,6 +346,15 @@
     }
 }
 
+milliseconds gateway::renewal_pause() const
+{
+    const auto hosts = static_cast<milliseconds::rep>(this->peers.known_hosts());
+    const milliseconds longest = std::clamp(renewal_time_per_host * hosts, renewal_time_of_small_fleet, renewal_time);
+    // Jittered, so that some host's renewal falls into a silence in which all watches were opened.
+    static thread_local std::minstd_rand random{std::random_device{}()};
+    return milliseconds{std::uniform_int_distribution<milliseconds::rep>{longest.count() / 2, longest.count()}(random)};
+}
+
 asio::awaitable<void> gateway::pause_while_registered(milliseconds span)
 {
     const time_point until = runtime_clock::now() + span;
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -54,6 +54,8 @@
     void take_host(const stored_change& change);
     void apply_settings(const gateway_settings& next);
     boost::asio::awaitable<void> stay_registered();
+    /// Returns the time until the next renewal of the registration.
+    milliseconds renewal_pause() const;
     /// Ends early when the registration has vanished.
     boost::asio::awaitable<void> pause_while_registered(milliseconds span);
     peer_hooks own_peer_hooks();
--- a/tests/forward/test_watches_and_reports.cpp
+++ b/tests/forward/test_watches_and_reports.cpp
@@ -36,8 +36,9 @@
     {
         ++this->watches;
         this->is_dropped = false;
-        while (!this->is_dropped && (this->is_deaf || after >= this->revision))
+        while (!this->is_dropped && (this->is_deaf || after >= this->revision)) {
             co_await pause_for(1ms);
+        }
         if (this->is_dropped)
             co_return fail(error_kind::unavailable, "dropped", "");
         stored_news news;
