A begun stream waits for another engine until its time is over

But this one had an answer open: it could not be refused, it was cut, with more than ten seconds of its time left.

Ruled out: the configuration change beside it (the route's new time-out was not reached), the retry budget (no such line).

Change: with an answer open the wait lasts as long as the request's time. Its place in the line stays that of a late request. Test: crest_begun_stream_waits_until_its_time_is_over, of a new function, so it was not seen failing.

--- a/src/forward/model_forward.cpp
+++ b/src/forward/model_forward.cpp
@@ -113,7 +113,9 @@
         found = std::move(*looked);
         return std::nullopt;
     };
-    const wait_bounds bounds = bounds_of(this->hand, serving_time, longest_wait_objectives);
+    wait_bounds bounds = bounds_of(this->hand, serving_time, longest_wait_objectives);
+    if (this->is_answer_open)
+        bounds = bounds_of_begun(bounds, runtime_clock::now() + this->hand.watch.left());
     const auto missing = co_await wait_for_place(this->context, this->hand, this->avoided, bounds, std::move(find));
     if (this->hand.watch.is_caller_gone())
         co_return fail(error_kind::caller_gone, "the caller has left", "");
--- a/src/forward/place_wait.cpp
+++ b/src/forward/place_wait.cpp
@@ -53,6 +53,12 @@
     return {hand.arrived + may_wait / 2, hand.arrived + may_wait, hand.arrived + longest};
 }
 
+wait_bounds bounds_of_begun(wait_bounds before, time_point limit)
+{
+    before.give_up = std::max(before.give_up, limit);
+    return before;
+}
+
 lateness wait_bounds::at(time_point now) const
 {
     if (now >= this->late_from)
--- a/src/forward/place_wait.h
+++ b/src/forward/place_wait.h
@@ -26,6 +26,9 @@
 /// `longest_objectives` times its objective.
 wait_bounds bounds_of(const request_in_hand& hand, milliseconds serving_time, double longest_objectives);
 
+/// Returns the bounds of a stream that was begun: it cannot be refused any more, so it waits until its time is over.
+wait_bounds bounds_of_begun(wait_bounds before, time_point limit);
+
 /// Looks for a place as the first in line; returns why there is none, or nothing once it has found one.
 using place_finder = std::function<std::optional<no_place>(const place_search& search)>;
 
--- a/tests/forward/test_membership_and_budget.cpp
+++ b/tests/forward/test_membership_and_budget.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(crest_only_the_first_in_line_search);
     CPPUNIT_TEST(crest_calls_that_can_be_on_time_keep_time_to_spare);
     CPPUNIT_TEST(late_requests_of_other_hosts_do_not_go_first);
+    CPPUNIT_TEST(crest_begun_stream_waits_until_its_time_is_over);
     CPPUNIT_TEST(sums_of_loads_follow_every_word_and_silence);
     CPPUNIT_TEST(changes_of_a_table_add_up_to_it);
     CPPUNIT_TEST(growth_is_told_once_it_matters);
@@ -249,6 +250,16 @@
         CPPUNIT_ASSERT(with_time_to_spare > served * 9 / 10);
     }
 
+    // Load pattern: an engine falls silent in a crest, and its streams look for another one while all are full.
+    void crest_begun_stream_waits_until_its_time_is_over()
+    {
+        const wait_bounds fresh{this->now + 290ms, this->now + 580ms, this->now + 2'880ms};
+        const wait_bounds begun = bounds_of_begun(fresh, this->now + 14s);
+        CPPUNIT_ASSERT(begun.give_up == this->now + 14s);
+        CPPUNIT_ASSERT(begun.late_from == fresh.late_from);
+        CPPUNIT_ASSERT(bounds_of_begun(fresh, this->now + 1s).give_up == fresh.give_up);
+    }
+
     // Pattern: each host has late requests; one that is on time anywhere goes before all of them.
     void late_requests_of_other_hosts_do_not_go_first()
     {
