Serve waiting requests by priority before lateness, on a host and between hosts

Cause: the queue ordered by lateness first, so urgent requests, which have the shorter latency objective, became late first and then waited behind every routine request that was still on time; between hosts the queue heads were compared without the priority at all. Change: queue_rank (priority, lateness, arrival) orders the queue of a host and the heads that hosts report to each other; the report carries the priority (a host of an earlier version counts as urgent, so its slots are kept). A late request waits only for on-time requests that are as urgent.

--- a/src/forward/capacity_wait.cpp
+++ b/src/forward/capacity_wait.cpp
@@ -32,22 +32,19 @@
                             {"others_waiting", std::to_string(others_waiting)}});
 }
 
-/// Returns whether the request may try to select endpoints now: it must be near the front of the queue, and a late
-/// request waits while the first request of any host can still meet its latency objective. Otherwise small late
-/// requests could use up freed capacity before there is enough of it for a larger request.
-bool may_select_now(const forward_context& context, const active_request& active, const request_queue& queue,
-                    const request_queue::queue_entry& entry, time_point now)
+} // namespace
+
+bool may_select_now(const std::string& service, const request_queue& queue, const request_queue::queue_entry& entry,
+                    const fleet_load& load, time_point now)
 {
     if (!queue.may_select(entry))
         return false;
     const auto first = queue.front();
-    const bool is_front_not_late = first && first->late != lateness::late;
-    return entry.late != lateness::late ||
-           (!is_front_not_late && !context.load.has_peer_head_not_late(active.service, now));
+    const bool is_front_not_late = first && first->rank.late != lateness::late;
+    return entry.rank.late != lateness::late ||
+           (!is_front_not_late && !load.has_peer_head_not_late(service, entry.rank.priority, now));
 }
 
-} // namespace
-
 wait_deadlines compute_wait_deadlines(const active_request& active, milliseconds serving_time, double max_wait_factor)
 {
     const milliseconds max_wait{
@@ -88,14 +85,14 @@
     std::optional<selection_failure> failure;
     while (true) {
         const time_point now = runtime_clock::now();
-        if (const lateness late = deadlines.lateness_at(now); late != entry.late)
+        if (const lateness late = deadlines.lateness_at(now); late != entry.rank.late)
             entry = queue.update_lateness(entry, late);
         failure = selection_failure::full;
-        if (may_select_now(context, active, queue, entry, now)) {
+        if (may_select_now(active.service, queue, entry, context.load, now)) {
             selection_context selection{excluded, context.draw(), queue.count_ahead(entry),
                                         context.are_peer_loads_current};
             selection.reserved_slots +=
-                context.load.count_peer_heads_ahead({active.service, entry.late, entry.since}, now);
+                context.load.count_peer_heads_ahead({active.service, entry.rank}, now);
             failure = select(selection);
         }
         if (!failure || *failure == selection_failure::no_endpoint || now >= deadlines.give_up_at ||
--- a/src/forward/capacity_wait.h
+++ b/src/forward/capacity_wait.h
@@ -30,6 +30,12 @@
 /// `give_up_at`.
 wait_deadlines extend_for_started_stream(wait_deadlines deadlines, time_point give_up_at);
 
+/// Returns whether a queued request may try to select endpoints now: it must be near the front of its queue, and a late
+/// request waits while the first request of any host can still meet its latency objective and is as urgent. Otherwise
+/// small late requests could use up freed capacity before there is enough of it for a larger request.
+bool may_select_now(const std::string& service, const request_queue& queue, const request_queue::queue_entry& entry,
+                    const fleet_load& load, time_point now);
+
 /// Tries to select endpoints; returns why there are none, or nothing on success.
 using endpoint_selector = std::function<std::optional<selection_failure>(const selection_context& selection)>;
 
--- a/src/forward/fleet_load.cpp
+++ b/src/forward/fleet_load.cpp
@@ -125,20 +125,18 @@
     std::size_t sum = 0;
     for (const auto& [host, report] : this->peers) {
         sum += static_cast<std::size_t>(std::ranges::count_if(report.heads, [&local_head](const queue_head& other) {
-            const bool is_ahead =
-                other.late != local_head.late ? other.late < local_head.late : other.since < local_head.since;
-            return other.service == local_head.service && is_ahead;
+            return other.service == local_head.service && other.rank < local_head.rank;
         }));
     }
     return sum;
 }
 
-bool fleet_load::has_peer_head_not_late(const std::string& service, time_point now) const
+bool fleet_load::has_peer_head_not_late(const std::string& service, int priority, time_point now) const
 {
     this->expire_peers(now);
-    return std::ranges::any_of(this->peers, [&service](const auto& peer) {
-        return std::ranges::any_of(peer.second.heads, [&service](const queue_head& head) {
-            return head.service == service && head.late != lateness::late;
+    return std::ranges::any_of(this->peers, [&](const auto& peer) {
+        return std::ranges::any_of(peer.second.heads, [&](const queue_head& head) {
+            return head.service == service && head.rank.late != lateness::late && head.rank.priority <= priority;
         });
     });
 }
--- a/src/forward/fleet_load.h
+++ b/src/forward/fleet_load.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/runtime_clock.h"
-#include "forward/lateness.h"
+#include "forward/queue_rank.h"
 
 namespace radishstep::forward {
 
@@ -33,8 +33,7 @@
 struct queue_head
 {
     std::string service;
-    lateness late = lateness::on_time;
-    time_point since;
+    queue_rank rank;
 
     bool operator==(const queue_head&) const = default;
 };
@@ -76,8 +75,9 @@
     /// skips as many slots, so that two hosts do not select the same one.
     std::size_t count_peer_heads_ahead(const queue_head& local_head, time_point now) const;
 
-    /// Returns whether another host has a queued request for the service that can still meet its latency objective.
-    bool has_peer_head_not_late(const std::string& service, time_point now) const;
+    /// Returns whether another host has a queued request for the service that can still meet its latency objective and
+    /// is at least as urgent as `priority`.
+    bool has_peer_head_not_late(const std::string& service, int priority, time_point now) const;
 
     /// Returns the total work of all hosts at an endpoint.
     endpoint_load total_at(const std::string& incarnation, time_point now) const;
--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -46,7 +46,7 @@
     std::vector<queue_head> heads;
     for (const auto& [service, queue] : this->request_queues) {
         if (const auto first = queue.front())
-            heads.push_back({service, first->late, first->since});
+            heads.push_back({service, first->rank});
     }
     return heads;
 }
--- a/src/forward/forward_dialect.h
+++ b/src/forward/forward_dialect.h
@@ -24,6 +24,8 @@
     std::int64_t expected_output_tokens = 0;
     /// Id of the last event that the caller has received, when it resumes a stream.
     std::optional<std::int64_t> last_event_id;
+    /// Priority of the request's route; 0 is the most urgent.
+    int priority = 0;
     http::request original;
 
     bool operator==(const caller_request&) const = default;
@@ -65,7 +67,7 @@
     virtual http::request make_plain_call(const caller_request& request, const endpoint& target,
                                           milliseconds time_left) const = 0;
 
-    /// Returns the call that makes a prefill engine process the prompt.
+    /// Returns the call that makes a prefill engine process the prompt, ahead of calls with a lower priority.
     virtual http::request make_prefill_call(const caller_request& request, const endpoint& target,
                                             milliseconds time_left) const = 0;
 
--- a/src/forward/forward_server.cpp
+++ b/src/forward/forward_server.cpp
@@ -106,6 +106,7 @@
         co_await this->refuse(parsed->id, reason, caller);
         co_return;
     }
+    parsed->priority = matched_route->priority;
     const std::string service = choose_service(*matched_route, this->context.draw());
     const auto timeout =
         parsed->patience ? std::min(*parsed->patience, matched_route->timeout) : matched_route->timeout;
--- a/src/forward/load_report_exchange.cpp
+++ b/src/forward/load_report_exchange.cpp
@@ -44,8 +44,9 @@
 {
     wire::WaitingHead row;
     row.service_name = head.service;
-    row.lateness = static_cast<std::int32_t>(head.late);
-    row.age_ms = static_cast<std::int32_t>(to_ms(runtime_clock::now() - head.since));
+    row.lateness = static_cast<std::int32_t>(head.rank.late);
+    row.age_ms = static_cast<std::int32_t>(to_ms(runtime_clock::now() - head.rank.since));
+    row.priority = head.rank.priority;
     return row;
 }
 
@@ -235,7 +236,8 @@
     const time_point now = runtime_clock::now();
     std::vector<queue_head> heads;
     for (const wire::WaitingHead& head : report->heads)
-        heads.push_back({head.service_name, to_lateness(head.lateness), now - milliseconds{head.age_ms}});
+        heads.push_back(
+            {head.service_name, {head.priority, to_lateness(head.lateness), now - milliseconds{head.age_ms}}});
     for (const wire::DownEndpoint& row : report->down) {
         const milliseconds age{std::max(row.age_ms, 0)};
         if (this->health.apply_peer_down_report({row.endpoint, now - age}, now))
--- a/src/forward/request_queue.cpp
+++ b/src/forward/request_queue.cpp
@@ -6,13 +6,13 @@
 
 request_queue::queue_entry request_queue::enqueue(int priority, time_point now)
 {
-    return *this->entries.insert(queue_entry{lateness::on_time, priority, now, this->next_sequence_number++}).first;
+    return *this->entries.insert(queue_entry{{priority, lateness::on_time, now}, this->next_sequence_number++}).first;
 }
 
 request_queue::queue_entry request_queue::update_lateness(const queue_entry& entry, lateness new_lateness)
 {
     this->entries.erase(entry);
-    return *this->entries.insert(queue_entry{new_lateness, entry.priority, entry.since, entry.sequence_number}).first;
+    return *this->entries.insert(queue_entry{{entry.rank.priority, new_lateness, entry.rank.since}, entry.sequence_number}).first;
 }
 
 void request_queue::remove(const queue_entry& entry)
--- a/src/forward/request_queue.h
+++ b/src/forward/request_queue.h
@@ -8,23 +8,21 @@
 #include <utility>
 
 #include "base/runtime_clock.h"
-#include "forward/lateness.h"
+#include "forward/queue_rank.h"
 
 namespace radishstep::forward {
 
-/// Priority queue of the waiting requests of one service, ordered by lateness, then by priority, then by arrival. Late
-/// requests go last, since waiting a little longer makes no difference to them. Requests at risk go behind those that
-/// are on time: in FIFO order, every request would wait at a load peak until it can just meet its latency objective,
-/// and most would miss it.
+/// Priority queue of the waiting requests of one service, ordered by priority, then by lateness, then by arrival. Among
+/// requests of one priority the late ones go last, since waiting a little longer makes no difference to them. Requests
+/// at risk go behind those that are on time: in FIFO order, every request would wait at a load peak until it can just
+/// meet its latency objective, and most would miss it.
 class request_queue
 {
 public:
     /// A queued request; smaller entries are served first.
     struct queue_entry
     {
-        lateness late = lateness::on_time;
-        int priority = 0;
-        time_point since;
+        queue_rank rank;
         std::uint64_t sequence_number = 0;
 
         auto operator<=>(const queue_entry&) const = default;
--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -159,12 +159,14 @@
   4: i64 unread
 }
 
-// The first request in a host's line for a service.
+// The first request in a host's queue for a service.
 struct WaitingHead {
   1: string service_name
-  // How far its objective is gone: 0 fresh, 1 hurried, 2 late.
+  // How much of the allowed waiting time has passed: 0 on time, 1 at risk, 2 late.
   2: i32 lateness
   3: i32 age_ms
+  // 0 is the most urgent; hosts of earlier versions don't send it and count as urgent, so that their slots are kept.
+  4: i32 priority = 0
 }
 
 // An endpoint incarnation that is known to be down, and for how long it has been known.
--- a/tests/forward/test_choices.cpp
+++ b/tests/forward/test_choices.cpp
@@ -238,8 +238,8 @@
         const endpoint decode_engine = make_endpoint("d0", "llm", endpoint_phase::decode, 128);
         this->add(decode_engine);
         this->load.add_work(decode_engine.incarnation(), {.calls = 8, .tokens = 32'000});
-        const queue_head local_head{"llm", lateness::on_time, this->now - 100ms};
-        this->load.apply_peer_loads("host-2", {}, {{"llm", lateness::on_time, this->now - 300ms}}, this->now);
+        const queue_head local_head{"llm", {1, lateness::on_time, this->now - 100ms}};
+        this->load.apply_peer_loads("host-2", {}, {{"llm", {1, lateness::on_time, this->now - 300ms}}}, this->now);
         const std::size_t peers_ahead = this->load.count_peer_heads_ahead(local_head, this->now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers_ahead);
         CPPUNIT_ASSERT(this->chooser.choose_engines(demand(), this->make_selection(), this->now).has_value());
--- a/tests/forward/test_membership_and_budget.cpp
+++ b/tests/forward/test_membership_and_budget.cpp
@@ -235,9 +235,10 @@
         for (milliseconds elapsed = 0ms; elapsed < 3s; ++elapsed) {
             waiting.push_back(queue.enqueue(1, this->now + elapsed));
             for (auto& waiting_call : waiting) {
-                const wait_deadlines deadlines{waiting_call.since + allowed_wait / 2, waiting_call.since + allowed_wait,
-                                               waiting_call.since + 4 * allowed_wait};
-                if (const lateness late = deadlines.lateness_at(this->now + elapsed); late != waiting_call.late)
+                const wait_deadlines deadlines{waiting_call.rank.since + allowed_wait / 2,
+                                               waiting_call.rank.since + allowed_wait,
+                                               waiting_call.rank.since + 4 * allowed_wait};
+                if (const lateness late = deadlines.lateness_at(this->now + elapsed); late != waiting_call.rank.late)
                     waiting_call = queue.update_lateness(waiting_call, late);
             }
             if (elapsed.count() % 2 != 0)
@@ -246,7 +247,7 @@
             queue.remove(first);
             std::erase(waiting, first);
             ++served;
-            with_time_to_spare += this->now + elapsed - first.since <= allowed_wait / 2 ? 1 : 0;
+            with_time_to_spare += this->now + elapsed - first.rank.since <= allowed_wait / 2 ? 1 : 0;
         }
         CPPUNIT_ASSERT_EQUAL(1'500, served);
         CPPUNIT_ASSERT(with_time_to_spare > served * 9 / 10);
@@ -266,15 +267,15 @@
     void late_requests_of_other_hosts_do_not_go_ahead()
     {
         fleet_load load;
-        load.apply_peer_loads("host-2", {}, {{"llm", lateness::late, this->now - 3s}}, this->now);
+        load.apply_peer_loads("host-2", {}, {{"llm", {1, lateness::late, this->now - 3s}}}, this->now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0},
-                             load.count_peer_heads_ahead({"llm", lateness::on_time, this->now}, this->now));
+                             load.count_peer_heads_ahead({"llm", {1, lateness::on_time, this->now}}, this->now));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                             load.count_peer_heads_ahead({"llm", lateness::late, this->now}, this->now));
-        CPPUNIT_ASSERT(!load.has_peer_head_not_late("llm", this->now));
-        load.apply_peer_loads("host-2", {}, {{"llm", lateness::on_time, this->now}}, this->now);
-        CPPUNIT_ASSERT(load.has_peer_head_not_late("llm", this->now));
-        CPPUNIT_ASSERT(!load.has_peer_head_not_late("app", this->now));
+                             load.count_peer_heads_ahead({"llm", {1, lateness::late, this->now}}, this->now));
+        CPPUNIT_ASSERT(!load.has_peer_head_not_late("llm", 1, this->now));
+        load.apply_peer_loads("host-2", {}, {{"llm", {1, lateness::on_time, this->now}}}, this->now);
+        CPPUNIT_ASSERT(load.has_peer_head_not_late("llm", 1, this->now));
+        CPPUNIT_ASSERT(!load.has_peer_head_not_late("app", 1, this->now));
     }
 
     // Load pattern: 60 hosts whose reports replace each other in random order, while some stop reporting.
