Start a stream only if it can end before its deadline

Change: stream_time_estimate learns from completed streams how long an answer takes a token that callers expected; with less than half of it left (expectations hold in the median only) the request is refused at once as not run, and a waiting one stops waiting.

--- a/src/forward/capacity_wait.cpp
+++ b/src/forward/capacity_wait.cpp
@@ -91,8 +91,7 @@
         if (may_select_now(active.service, queue, entry, context.load, now)) {
             selection_context selection{excluded, context.draw(), queue.count_ahead(entry),
                                         context.are_peer_loads_current};
-            selection.reserved_slots +=
-                context.load.count_peer_heads_ahead({active.service, entry.rank}, now);
+            selection.reserved_slots += context.load.count_peer_heads_ahead({active.service, entry.rank}, now);
             failure = select(selection);
         }
         if (!failure || *failure == selection_failure::no_endpoint || now >= deadlines.give_up_at ||
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -14,6 +14,7 @@
 #include "forward/forward_dialect.h"
 #include "forward/request_queue.h"
 #include "forward/retry_budget.h"
+#include "forward/stream_time_estimate.h"
 #include "http/client.h"
 
 namespace radishstep::forward {
@@ -33,6 +34,8 @@
     retry_budget budget;
     /// Requests waiting for capacity at an endpoint, by service.
     std::map<std::string, request_queue> request_queues;
+    /// Durations of streams, by service.
+    std::map<std::string, stream_time_estimate> stream_times;
     config_ptr config;
     /// Load reports arrive often enough that the loads of other hosts are known within a fraction of a plain
     /// call's duration.
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -120,6 +120,7 @@
         return std::nullopt;
     };
     wait_deadlines deadlines = compute_wait_deadlines(this->active, typical_first_event_time, max_wait_factor);
+    deadlines.give_up_at = std::min(deadlines.give_up_at, this->active.canceller.deadline() - this->required_time());
     if (this->has_started_response)
         deadlines = extend_for_started_stream(deadlines, runtime_clock::now() + this->active.canceller.time_left());
     const auto no_engine_cause = co_await wait_for_capacity(this->context, this->active, this->excluded_engines,
@@ -170,6 +171,15 @@
     return service_config == nullptr ? 1 : service_config->tokens_per_event;
 }
 
+/// Returns how much time must be left for the next call to an engine. A started stream goes on while any is left.
+milliseconds model_forwarder::required_time() const
+{
+    if (this->has_started_response)
+        return min_forward_time;
+    const stream_time_estimate& estimate = this->context.stream_times[this->active.service];
+    return std::max(estimate.required(this->active.request.expected_output_tokens), min_forward_time);
+}
+
 asio::awaitable<model_forwarder::next_step> model_forwarder::serve_with(reservation& reserved)
 {
     if (reserved.engines.prefill) {
@@ -352,11 +362,12 @@
     ++this->run_count;
     if ((*stream)->head().status >= min_failure_status)
         co_return co_await this->handle_error_response(target, **stream);
-    co_return co_await this->relay_stream(target, decode_load, **stream);
+    co_return co_await this->relay_stream(target, decode_load, **stream, sent_at);
 }
 
-asio::awaitable<model_forwarder::next_step>
-model_forwarder::relay_stream(const endpoint& target, load_guard& decode_load, http::body_stream& stream)
+asio::awaitable<model_forwarder::next_step> model_forwarder::relay_stream(const endpoint& target,
+                                                                          load_guard& decode_load,
+                                                                          http::body_stream& stream, time_point sent_at)
 {
     if (!this->has_started_response) {
         this->has_started_response = true;
@@ -386,7 +397,11 @@
         if (is_end)
             break;
     }
-    this->context.health.record_outcome(target.incarnation(), call_outcome::answered, runtime_clock::now());
+    const time_point now = runtime_clock::now();
+    this->context.health.record_outcome(target.incarnation(), call_outcome::answered, now);
+    if (this->decode_sends == 1)
+        this->context.stream_times[this->active.service].record(this->active.request.expected_output_tokens,
+                                                                now - sent_at);
     co_await this->active.caller.finish();
     co_return next_step::done;
 }
@@ -448,7 +463,7 @@
         return error{error_kind::outcome_unknown, "the engine's stream broke and may not be repeated", ""};
     if (this->run_count >= this->active.matched_route.max_endpoints)
         return error{error_kind::endpoint_failed, "no engine completed the stream", ""};
-    if (this->active.canceller.time_left() < min_forward_time)
+    if (this->active.canceller.time_left() < this->required_time())
         return error{this->run_count > 0 ? error_kind::deadline_exceeded : error_kind::overloaded,
                      "too little time is left before the request's deadline", "allow more time"};
     if (this->decode_sends + this->prefill_sends >= max_model_sends)
--- a/src/forward/model_forwarder.h
+++ b/src/forward/model_forwarder.h
@@ -56,6 +56,7 @@
     bool confirm_decode_engine(reservation& reserved);
     model_demand demand() const;
     std::int64_t tokens_per_event() const;
+    milliseconds required_time() const;
 
     boost::asio::awaitable<next_step> serve_with(reservation& reserved);
     boost::asio::awaitable<bool> run_prefill(const endpoint& target);
@@ -67,7 +68,7 @@
     void log_call(std::string_view event, const endpoint& target, time_point sent_at, const error& reason) const;
     boost::asio::awaitable<next_step> run_decode(const endpoint& target, load_guard& decode_load);
     boost::asio::awaitable<next_step> relay_stream(const endpoint& target, load_guard& decode_load,
-                                                   http::body_stream& stream);
+                                                   http::body_stream& stream, time_point sent_at);
     boost::asio::awaitable<next_step> handle_error_response(const endpoint& target, http::body_stream& stream);
     next_step handle_failure(const endpoint& target, const error& reason);
     void release_prefill();
--- a/src/forward/request_queue.cpp
+++ b/src/forward/request_queue.cpp
@@ -12,7 +12,9 @@
 request_queue::queue_entry request_queue::update_lateness(const queue_entry& entry, lateness new_lateness)
 {
     this->entries.erase(entry);
-    return *this->entries.insert(queue_entry{{entry.rank.priority, new_lateness, entry.rank.since}, entry.sequence_number}).first;
+    return *this->entries
+                .insert(queue_entry{{entry.rank.priority, new_lateness, entry.rank.since}, entry.sequence_number})
+                .first;
 }
 
 void request_queue::remove(const queue_entry& entry)
