Bound what servers in trouble can cost, and answer what crosses a stop

Causes, each shown by a test on the real process that failed before (test_troubled_servers): - bodies without end: a response could grow to 16 MB a call, so 200 such calls took a host of 88 MB down. The client now counts the bytes of all responses that it reads and ends those beyond 64 KiB each once 22 MB are in use; heads, chunk headers and events are bounded too, and the error body of an engine that is forwarded. - a stalled stream that drips comments was never idle. Only whole events count as progress now, so a resumable stream moves to another engine after 1.2 s; one that may not resume ends at its deadline. - a request whose body was still arriving, and connections that the host had not accepted yet, were cut by a planned stop. Requests count from their first byte, open connections are accepted before the listener closes, the host waits for its connections, and closing idle ones no longer hits a request that was read but not handled yet. heads_without_end, slow_but_sound_stream and dripping_stream_that_may_not_resume passed before: no fault there. The test site's stream routes allow 12 s now, so that a slow stream can be told from one that its route ends; the callers' deadlines of 3 s still bound all other cases.

--- a/src/forward/event_relay.h
+++ b/src/forward/event_relay.h
@@ -12,8 +12,9 @@
 class event_relay
 {
 public:
-    /// An incomplete event longer than this marks the stream as broken.
-    static constexpr std::size_t max_event_bytes = 256UL * 1024;
+    /// An incomplete event longer than this marks the stream as broken: some hundred times the usual event, and little
+    /// enough that hundreds of such streams fit into a small host's memory.
+    static constexpr std::size_t max_event_bytes = 64UL * 1024;
 
     explicit event_relay(std::optional<std::int64_t> last_event_id) : last_id(last_event_id) {}
 
--- a/src/forward/forward_server.h
+++ b/src/forward/forward_server.h
@@ -26,7 +26,10 @@
     /// Applies the configured limits for callers.
     void apply_limits(const caller_limits& limits);
 
-    /// Returns the number of requests being served.
+    /// Returns the number of callers' connections.
+    std::size_t open_connections() const { return this->server.open_connections(); }
+
+    /// Returns the number of requests that are being read or served.
     std::size_t requests_in_progress() const { return this->server.requests_in_progress(); }
 
 private:
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -441,7 +441,8 @@
     this->caller_server->close_after_responses();
     co_await pause_for(std::min(accept_time_after_stop, this->settings.shutdown_grace / 2));
     this->caller_server->stop_accepting();
-    while (this->caller_server->requests_in_progress() > 0 && runtime_clock::now() < deadline)
+    // A connection ends after its request, or soon if it carries none.
+    while (this->caller_server->open_connections() > 0 && runtime_clock::now() < deadline)
         co_await pause_for(shutdown_poll_interval);
     log_state("stopped", {{"unfinished", std::to_string(this->caller_server->requests_in_progress())}});
     this->io.stop();
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -1,5 +1,6 @@
 #include "forward/model_forwarder.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -27,9 +28,18 @@
 /// Idle timeout of a stream that may resume at another engine; callers abandon a stream after longer gaps.
 constexpr milliseconds resumable_stream_idle_timeout{1'200};
 
+/// Longest body of an engine's error response that is forwarded.
+constexpr std::size_t max_error_body_bytes = 64UL * 1024;
+
 /// Most calls per request: one set of sends for the prefill calls and one for the decode calls.
 constexpr int max_model_sends = 2 * max_sends;
 
+/// Returns the time until `deadline`, at least 1 ms.
+milliseconds time_until(time_point deadline)
+{
+    return std::max(std::chrono::duration_cast<milliseconds>(deadline - runtime_clock::now()), milliseconds{1});
+}
+
 std::string ms_since(time_point start)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(runtime_clock::now() - start).count());
@@ -378,7 +388,11 @@
             co_return next_step::retry;
     }
     this->relay.discard_partial_event();
+    time_point last_progress_at = runtime_clock::now();
     while (true) {
+        // Only whole events count as progress: an engine that stalls may still send comments or parts of an event.
+        if (this->active.matched_route.is_repeatable)
+            stream.set_read_timeout(time_until(last_progress_at + resumable_stream_idle_timeout));
         auto chunk = co_await stream.next();
         if (!chunk)
             co_return this->handle_failure(target, chunk.error());
@@ -390,6 +404,7 @@
             co_return this->handle_failure(target, error{error_kind::protocol, "an event is too long", ""});
         if (!new_events.empty()) {
             this->record_event_time();
+            last_progress_at = runtime_clock::now();
             const bool is_written = co_await this->active.caller.write(std::move(new_events));
             if (!is_written)
                 co_return next_step::retry;
@@ -422,6 +437,11 @@
         if (chunk->empty())
             break;
         answer.body += *chunk;
+        if (answer.body.size() > max_error_body_bytes)
+            co_return this->handle_failure(
+                target,
+                error{error_kind::protocol,
+                      "the error response has no end after " + std::to_string(answer.body.size()) + " bytes", ""});
     }
     this->outcome.status = answer.status;
     co_await this->active.caller.send(std::move(answer));
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <optional>
@@ -11,6 +12,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "base/metrics.h"
 #include "base/text.h"
 #include "http/dead_peer.h"
 #include "http/server.h"
@@ -25,7 +27,9 @@
 
 constexpr std::size_t max_idle_connections_per_address = 64;
 constexpr std::size_t stream_read_bytes = 8UL * 1024;
-constexpr std::uint64_t max_response_body_bytes = 16ULL * 1024 * 1024;
+/// Longest response head, and longest part of a response that must be complete to be parsed, such as a chunk header.
+constexpr std::size_t max_head_bytes = 16UL * 1024;
+constexpr std::size_t read_buffer_bytes = 64UL * 1024;
 /// Applies to endpoints that announce no timeout in a Keep-Alive header.
 constexpr std::chrono::seconds default_keep_alive_timeout{30};
 
@@ -34,7 +38,8 @@
     explicit connection(const asio::any_io_executor& executor) : stream(executor) {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    /// Bounded, since a chunk header without end would fill it.
+    beast::flat_buffer buffer{read_buffer_bytes};
     time_point idle_since;
     runtime_clock::duration keep_alive_timeout = default_keep_alive_timeout;
 };
@@ -149,6 +154,8 @@
 {
     asio::any_io_executor executor;
     std::map<std::string, std::deque<connection_ptr>> by_address;
+    /// Bytes beyond the guaranteed ones of all responses that call() is reading.
+    std::size_t buffered_bytes = 0;
 
     connection_ptr acquire_idle(const std::string& address)
     {
@@ -223,9 +230,11 @@
 public:
     connection_stream(connection_ptr conn, call_options options, std::shared_ptr<client::idle_pool> pool,
                       std::string address)
-        : conn(std::move(conn)), options(std::move(options)), pool(std::move(pool)), address(std::move(address))
+        : conn(std::move(conn)), options(std::move(options)), pool(std::move(pool)), address(std::move(address)),
+          read_timeout(this->options.idle_timeout)
     {
         this->parser.body_limit(boost::none);
+        this->parser.header_limit(max_head_bytes);
     }
 
     ~connection_stream() override
@@ -251,6 +260,8 @@
 
     const response& head() const override { return this->response_head; }
 
+    void set_read_timeout(milliseconds timeout) override { this->read_timeout = timeout; }
+
     asio::awaitable<result<std::string>> next() override
     {
         std::string part;
@@ -260,7 +271,7 @@
             body.size = this->read_buffer.size();
             body.more = true;
             error_code failure;
-            this->conn->stream.expires_after(this->options.idle_timeout);
+            this->conn->stream.expires_after(this->read_timeout);
             co_await beast::http::async_read_some(this->conn->stream, this->conn->buffer, this->parser,
                                                   asio::redirect_error(asio::use_awaitable, failure));
             if (failure && failure != beast::http::error::need_buffer)
@@ -278,12 +289,62 @@
     call_options options;
     std::shared_ptr<client::idle_pool> pool;
     std::string address;
+    milliseconds read_timeout;
     beast::http::response_parser<beast::http::buffer_body> parser;
     response response_head;
     std::array<char, stream_read_bytes> read_buffer;
     bool is_released = false;
 };
 
+using response_parser = beast::http::response_parser<beast::http::string_body>;
+
+/// Counts the bytes of one response against the limits of all responses.
+class response_size
+{
+public:
+    explicit response_size(client::idle_pool& pool) : pool(pool) {}
+    ~response_size() { this->pool.buffered_bytes -= this->counted_bytes(); }
+    response_size(const response_size&) = delete;
+    response_size& operator=(const response_size&) = delete;
+
+    /// Adds received bytes; returns false if the response has become too long.
+    bool add(std::size_t received)
+    {
+        const std::size_t before = this->counted_bytes();
+        this->bytes += received;
+        this->pool.buffered_bytes += this->counted_bytes() - before;
+        return this->bytes <= client::max_response_bytes &&
+               (this->counted_bytes() == 0 || this->pool.buffered_bytes <= client::max_buffered_bytes);
+    }
+
+    std::size_t total() const { return this->bytes; }
+
+private:
+    std::size_t counted_bytes() const { return this->bytes - std::min(this->bytes, client::guaranteed_response_bytes); }
+
+    client::idle_pool& pool;
+    std::size_t bytes = 0;
+};
+
+asio::awaitable<result<void>> read_response(connection& conn, client::idle_pool& pool, response_parser& parser)
+{
+    response_size size{pool};
+    while (!parser.is_done()) {
+        error_code failure;
+        const std::size_t received = co_await beast::http::async_read_some(
+            conn.stream, conn.buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            co_return to_call_error(failure);
+        if (!size.add(received)) {
+            count("radishstep_http_responses_too_long_total");
+            co_return fail(error_kind::protocol,
+                           "the response has no end after " + std::to_string(size.total()) + " bytes",
+                           "see the endpoint's own log");
+        }
+    }
+    co_return result<void>{};
+}
+
 } // namespace
 
 client::client(asio::any_io_executor executor) : idle_connections(std::make_shared<idle_pool>())
@@ -301,15 +362,16 @@
         clear_abort_hook(options);
         co_return tl::unexpected{conn.error()};
     }
-    beast::http::response_parser<beast::http::string_body> parser;
-    parser.body_limit(max_response_body_bytes);
-    error_code failure;
+    response_parser parser;
+    parser.body_limit(boost::none);
+    parser.header_limit(max_head_bytes);
     (*conn)->stream.expires_after(options.idle_timeout);
-    co_await beast::http::async_read((*conn)->stream, (*conn)->buffer, parser,
-                                     asio::redirect_error(asio::use_awaitable, failure));
+    const auto read = co_await read_response(**conn, *pool, parser);
     clear_abort_hook(options);
-    if (failure)
-        co_return to_call_error(failure);
+    if (!read) {
+        (*conn)->stream.close();
+        co_return tl::unexpected{read.error()};
+    }
     auto message = parser.release();
     response answer = to_response(message);
     answer.body = std::move(message.body());
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -59,13 +59,17 @@
     virtual const response& head() const = 0;
 
     /// Returns the next bytes of the body, or "" at its regular end. A connection that closes earlier is an error, and
-    /// so is one that delivers no bytes within the call's idle timeout.
+    /// so is one that delivers no bytes within the read timeout.
     virtual boost::asio::awaitable<result<std::string>> next() = 0;
+
+    /// Sets the time that next() may take from now on; initially the call's idle timeout.
+    virtual void set_read_timeout(milliseconds timeout) = 0;
 };
 
-/// HTTP/1.1 client on one executor, with a pool of idle connections per address. After the errors
-/// `not_sent`, `connection_refused` and `bad_setting` (an address that cannot be parsed) no byte of the request was
-/// sent; after any other error the endpoint may have received it.
+/// HTTP/1.1 client on one executor, with a pool of idle connections per address. Endpoints that send bytes without end
+/// cannot exhaust its memory: heads and responses have a maximum size, and so have all responses together that are
+/// being read by call(). After the errors `not_sent`, `connection_refused` and `bad_setting` (an address that cannot be
+/// parsed) no byte of the request was sent; after any other error the endpoint may have received it.
 class client
 {
 public:
@@ -74,7 +78,16 @@
     client(const client&) = delete;
     client& operator=(const client&) = delete;
 
-    /// Sends a request to `address` ("IP:port") and returns the whole response.
+    /// Longest response that call() accepts.
+    static constexpr std::size_t max_response_bytes = 16UL * 1024 * 1024;
+    /// Size of all responses together that call() reads at a time: a quarter of a small host's memory of 88 MB.
+    static constexpr std::size_t max_buffered_bytes = 22UL * 1024 * 1024;
+    /// Part of a response that does not count against max_buffered_bytes, so that usual responses pass while others are
+    /// without end.
+    static constexpr std::size_t guaranteed_response_bytes = 64UL * 1024;
+
+    /// Sends a request to `address` ("IP:port") and returns the whole response, or a `protocol` error if it is too
+    /// long.
     boost::asio::awaitable<result<response>> call(std::string address, request outgoing, call_options options);
 
     /// Sends a request and returns its response as a stream once the response head has arrived.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -36,6 +36,7 @@
     request_handler handler;
     refusal_builder make_refusal;
     std::size_t connections = 0;
+    /// Requests that are being read or handled.
     std::size_t requests = 0;
     bool is_draining = false;
     bool is_keep_alive_enabled = true;
@@ -45,6 +46,13 @@
 
 namespace {
 
+/// Size of the read buffer beyond the longest header. Bounded, since a chunk header without end would fill it.
+constexpr std::size_t read_buffer_bytes = 64UL * 1024;
+
+/// How long a connection without a request stays open while the server drains: a caller that has just connected sends
+/// its request at once.
+constexpr milliseconds draining_idle_timeout{500};
+
 using parser_type = beast::http::request_parser<beast::http::string_body>;
 
 request to_request(parser_type::value_type& parsed)
@@ -77,12 +85,26 @@
     return is_http && !is_disconnect;
 }
 
+/// Counts a request while it is read and handled.
+class request_count
+{
+public:
+    explicit request_count(std::size_t& requests) : requests(requests) { ++this->requests; }
+    ~request_count() { --this->requests; }
+    request_count(const request_count&) = delete;
+    request_count& operator=(const request_count&) = delete;
+
+private:
+    std::size_t& requests;
+};
+
 /// One caller's connection: reads its requests one after another and sends their responses.
 class session : public reply, public std::enable_shared_from_this<session>
 {
 public:
     session(asio::ip::tcp::socket socket, std::shared_ptr<server::shared_state> state)
-        : stream(std::move(socket)), read_timer(this->stream.get_executor()), state(std::move(state))
+        : stream(std::move(socket)), read_timer(this->stream.get_executor()),
+          buffer(state->limits.header_bytes + read_buffer_bytes), state(std::move(state))
     {
         ++this->state->connections;
         enable_dead_peer_detection(this->stream.socket());
@@ -171,6 +193,9 @@
         parser_type parser;
         parser.header_limit(static_cast<std::uint32_t>(this->state->limits.header_bytes));
         parser.body_limit(this->state->limits.body_bytes);
+        if (this->buffer.size() == 0 && co_await this->read_first_bytes())
+            co_return false;
+        const request_count counted{this->state->requests};
         const error_code failure = co_await this->read_request(parser);
         if (failure) {
             co_await this->refuse_unreadable_request(failure);
@@ -180,20 +205,13 @@
         this->wants_keep_alive = parsed.keep_alive();
         this->is_head_sent = false;
         const request incoming = to_request(parsed);
-        ++this->state->requests;
         co_await this->handle_request(incoming);
-        --this->state->requests;
         co_return !this->is_broken && !this->is_chunked_open && this->is_head_sent && this->may_keep_alive();
     }
 
     asio::awaitable<error_code> read_request(parser_type& parser)
     {
         error_code failure;
-        if (this->buffer.size() == 0) {
-            failure = co_await this->read_first_bytes();
-            if (failure)
-                co_return beast::http::error::end_of_stream;
-        }
         this->start_read_timeout(this->state->limits.header_timeout);
         co_await beast::http::async_read_header(this->stream, this->buffer, parser,
                                                 asio::redirect_error(asio::use_awaitable, failure));
@@ -212,8 +230,15 @@
     {
         constexpr std::size_t first_read_bytes = 4'096;
         error_code failure;
-        this->start_read_timeout(this->state->limits.idle_timeout);
-        this->state->idle_closers.emplace(this, [this] { this->stream.close(); });
+        const milliseconds idle_timeout = this->state->limits.idle_timeout;
+        this->start_read_timeout(this->state->is_draining ? std::min(idle_timeout, draining_idle_timeout)
+                                                          : idle_timeout);
+        this->state->idle_closers.emplace(this, [this] {
+            // A read that has got its bytes already is not cancelled, so that its request is answered.
+            error_code ignored;
+            if (!this->has_unread_bytes())
+                this->stream.socket().cancel(ignored);
+        });
         const std::size_t size = co_await this->stream.async_read_some(
             this->buffer.prepare(first_read_bytes), asio::redirect_error(asio::use_awaitable, failure));
         this->state->idle_closers.erase(this);
@@ -297,6 +322,12 @@
         this->watch_cancel.emit(asio::cancellation_type::all);
     }
 
+    bool has_unread_bytes()
+    {
+        error_code failure;
+        return this->stream.socket().available(failure) > 0;
+    }
+
     bool has_caller_closed()
     {
         std::array<char, 1> next{};
@@ -330,6 +361,17 @@
     bool is_broken = false;
 };
 
+void start_session(asio::ip::tcp::socket socket, const std::shared_ptr<server::shared_state>& state)
+{
+    if (state->connections >= state->limits.connections) {
+        count("radishstep_http_connections_refused_total");
+        return;
+    }
+    const auto caller = std::make_shared<session>(std::move(socket), state);
+    asio::co_spawn(
+        state->listener.get_executor(), [caller] { return caller->run(); }, asio::detached);
+}
+
 asio::awaitable<void> accept_connections(std::shared_ptr<server::shared_state> state)
 {
     while (!state->is_draining) {
@@ -337,15 +379,20 @@
         auto socket = co_await state->listener.async_accept(asio::redirect_error(asio::use_awaitable, failure));
         if (failure == asio::error::operation_aborted || failure == asio::error::bad_descriptor)
             co_return;
-        if (failure)
-            continue;
-        if (state->connections >= state->limits.connections) {
-            count("radishstep_http_connections_refused_total");
-            continue;
-        }
-        const auto caller = std::make_shared<session>(std::move(socket), state);
-        asio::co_spawn(
-            state->listener.get_executor(), [caller] { return caller->run(); }, asio::detached);
+        if (!failure)
+            start_session(std::move(socket), state);
+    }
+}
+
+/// Accepts the connections that callers have opened already, since closing the listener would reset them.
+void accept_pending(const std::shared_ptr<server::shared_state>& state)
+{
+    error_code failure;
+    state->listener.non_blocking(true, failure);
+    while (!failure) {
+        auto socket = state->listener.accept(failure);
+        if (!failure)
+            start_session(std::move(socket), state);
     }
 }
 
@@ -360,7 +407,10 @@
 
 server::~server()
 {
-    this->drain();
+    this->state->is_draining = true;
+    this->state->is_keep_alive_enabled = false;
+    error_code ignored;
+    this->state->listener.close(ignored);
 }
 
 void server::start()
@@ -372,8 +422,10 @@
 
 void server::drain()
 {
-    this->state->is_draining = true;
+    if (std::exchange(this->state->is_draining, true))
+        return;
     this->state->is_keep_alive_enabled = false;
+    accept_pending(this->state);
     error_code ignored;
     this->state->listener.close(ignored);
 }
@@ -400,6 +452,11 @@
     return this->state->requests;
 }
 
+std::size_t server::open_connections() const
+{
+    return this->state->connections;
+}
+
 result<asio::ip::tcp::endpoint> parse_address(const std::string& address)
 {
     const std::size_t colon = address.rfind(':');
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -53,22 +53,27 @@
     /// Starts accepting connections.
     void start();
 
-    /// Stops accepting connections; existing ones close after their current or next response.
+    /// Stops accepting connections, after those that callers have opened already; existing ones close after their
+    /// current or next response.
     void drain();
 
     /// Closes each connection after its next response; new connections are still accepted.
     void disable_keep_alive();
 
-    /// Closes the connections that wait for their next request.
+    /// Closes the connections that wait for their next request, except those on which one has arrived but is not read
+    /// yet.
     void close_idle();
 
     /// Replaces the limits. A connection reads the size limits when it starts to wait for a request, and each
     /// timeout when the step that it bounds begins.
     void set_limits(server_limits limits);
 
-    /// Returns the number of requests that are being handled.
+    /// Returns the number of requests that are being read or handled.
     std::size_t requests_in_progress() const;
 
+    /// Returns the number of connections.
+    std::size_t open_connections() const;
+
     /// State shared by the server and its connections.
     struct shared_state;
 
--- a/tests/platform/platform_site.cpp
+++ b/tests/platform/platform_site.cpp
@@ -37,7 +37,7 @@
             {"host", "site.example"},
             {"prefix", prefix},
             {"type", type},
-            {"timeout_ms", 3'000},
+            {"timeout_ms", type == "streaming" ? 12'000 : 3'000},
             {"target_latency_ms", 900},
             {"priority", 1},
             {"service", service},
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -198,9 +198,33 @@
     co_return true;
 }
 
+asio::awaitable<void> standin_engine::send_without_end(raw_connection& caller, std::string bytes, milliseconds pause)
+{
+    bool is_open = true;
+    while (is_open) {
+        std::string part = bytes;
+        is_open = co_await caller.write(std::move(part));
+        co_await pause_for(pause);
+    }
+}
+
 asio::awaitable<bool> standin_engine::send_plain_response(std::size_t call, raw_connection& caller)
 {
     this->mark_run(call);
+    constexpr std::size_t part_bytes = 32UL * 1024;
+    if (this->current_fault() == engine_fault::endless_head) {
+        co_await caller.write("HTTP/1.1 200 OK\r\n");
+        co_await send_without_end(caller, "X-Filler: " + std::string(part_bytes, 'x') + "\r\n", milliseconds{1});
+        co_return false;
+    }
+    if (this->current_fault() == engine_fault::endless_body) {
+        std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+        for (const http::header& line : this->response_headers(call))
+            head += line.name + ": " + line.value + "\r\n";
+        co_await caller.write(head + "\r\n");
+        co_await send_without_end(caller, chunk(std::string(part_bytes, 'x')), milliseconds{1});
+        co_return false;
+    }
     const bool is_caller_connected = co_await this->simulate_work(call, caller);
     if (!is_caller_connected)
         co_return false;
@@ -275,6 +299,12 @@
             caller.reset();
             co_return false;
         }
+        constexpr int last_event_before_drip = 3;
+        if (this->current_fault() == engine_fault::dripping_stream && number > last_event_before_drip) {
+            co_await send_without_end(caller, chunk(":"), milliseconds{100});
+            this->mark_caller_disconnected(call);
+            co_return false;
+        }
         co_await caller.write(chunk(event));
     }
     co_return co_await caller.write("0\r\n\r\n");
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -38,6 +38,12 @@
     cut_stream,
     /// Prefill results expire at once.
     expired_prefill_results,
+    /// The response's head has no end; it is sent until the caller closes the connection.
+    endless_head,
+    /// The response's body has no end.
+    endless_body,
+    /// After its third event a stream sends a byte of a comment every 100 ms, and no further event.
+    dripping_stream,
 };
 
 /// A call that an engine received.
@@ -90,6 +96,7 @@
 
 private:
     boost::asio::awaitable<bool> handle_request(const http::request& request, raw_connection& caller);
+    static boost::asio::awaitable<void> send_without_end(raw_connection& caller, std::string bytes, milliseconds pause);
     boost::asio::awaitable<bool> send_plain_response(std::size_t call, raw_connection& caller);
     boost::asio::awaitable<bool> send_prefill_response(std::size_t call, raw_connection& caller);
     boost::asio::awaitable<bool> send_stream(std::size_t call, raw_connection& caller);
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -90,6 +90,21 @@
     return false;
 }
 
+long process::peak_memory_mb() const
+{
+    std::ifstream status{"/proc/" + std::to_string(this->pid) + "/status"};
+    std::string word;
+    while (status >> word) {
+        if (word != "VmHWM:")
+            continue;
+        constexpr long kb_per_mb = 1'024;
+        long kb = 0;
+        status >> kb;
+        return kb / kb_per_mb;
+    }
+    return 0;
+}
+
 double process::cpu_seconds() const
 {
     std::ifstream file{"/proc/" + std::to_string(this->pid) + "/stat"};
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -34,6 +34,9 @@
     /// Returns the CPU time that the process has used so far, in seconds.
     double cpu_seconds() const;
 
+    /// Returns the largest memory that the process has used so far, in MB; 0 if it has ended.
+    long peak_memory_mb() const;
+
 private:
     pid_t pid = -1;
     int exit_code = -1;
