Refuse at a stop what could not be completed before it

Change: from the stop signal on, a request whose expected serving time does not fit before the end is refused as not run, so that its caller asks another host. Started streams go on as before. Test: streams_waiting_at_a_stop_are_refused_or_complete, failed without the change.

--- a/src/forward/capacity_wait.cpp
+++ b/src/forward/capacity_wait.cpp
@@ -50,12 +50,14 @@
     const milliseconds max_wait{
         static_cast<milliseconds::rep>(to_ms(active.matched_route.latency_objective) * max_wait_factor)};
     const milliseconds allowed_wait = std::max(active.matched_route.latency_objective - serving_time, milliseconds{0});
-    return {active.arrived_at + allowed_wait / 2, active.arrived_at + allowed_wait, active.arrived_at + max_wait};
+    return {active.arrived_at + allowed_wait / 2, active.arrived_at + allowed_wait, active.arrived_at + max_wait,
+            serving_time};
 }
 
 wait_deadlines extend_for_started_stream(wait_deadlines deadlines, time_point give_up_at)
 {
     deadlines.give_up_at = std::max(deadlines.give_up_at, give_up_at);
+    deadlines.serving_time = milliseconds{0};
     return deadlines;
 }
 
@@ -71,6 +73,8 @@
     const std::string remedy = "retry after the given time";
     if (cause == selection_failure::no_endpoint)
         return {error_kind::no_endpoint, "no endpoint of the service takes the request", remedy};
+    if (cause == selection_failure::host_stopping)
+        return {error_kind::unavailable, "this host stops before the request could be completed", "ask another host"};
     return {error_kind::overloaded, "all endpoints of the service are full", remedy};
 }
 
@@ -87,6 +91,10 @@
         const time_point now = runtime_clock::now();
         if (const lateness late = deadlines.lateness_at(now); late != entry.rank.late)
             entry = queue.update_lateness(entry, late);
+        if (context.stop_deadline && now + deadlines.serving_time >= *context.stop_deadline) {
+            failure = selection_failure::host_stopping;
+            break;
+        }
         failure = selection_failure::full;
         if (may_select_now(active.service, queue, entry, context.load, now)) {
             selection_context selection{excluded, context.draw(), queue.count_ahead(entry),
--- a/src/forward/capacity_wait.h
+++ b/src/forward/capacity_wait.h
@@ -15,6 +15,9 @@
     time_point at_risk_at;
     time_point late_at;
     time_point give_up_at;
+    /// How long the request is expected to take once it has an endpoint. It is not started later than this before its
+    /// host stops.
+    milliseconds serving_time{0};
 
     bool operator==(const wait_deadlines&) const = default;
 
--- a/src/forward/endpoint_chooser.h
+++ b/src/forward/endpoint_chooser.h
@@ -53,8 +53,8 @@
     bool are_peer_loads_current = true;
 };
 
-/// Why no endpoint was selected.
-enum class selection_failure { no_endpoint, full };
+/// Why no endpoint was selected. `host_stopping`: an endpoint could not complete the request before this host stops.
+enum class selection_failure { no_endpoint, full, host_stopping };
 
 /// Selects endpoints by load, observed health and zone. Keeps no state of its own.
 class endpoint_chooser
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -37,6 +37,8 @@
     /// Durations of streams, by service.
     std::map<std::string, stream_time_estimate> stream_times;
     config_ptr config;
+    /// When the process ends, set once it has been told to stop.
+    std::optional<time_point> stop_deadline;
     /// Load reports arrive often enough that the loads of other hosts are known within a fraction of a plain
     /// call's duration.
     bool are_peer_loads_current = true;
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -437,6 +437,7 @@
 asio::awaitable<void> gateway::stop_gracefully()
 {
     const time_point deadline = runtime_clock::now() + this->settings.shutdown_grace - shutdown_margin;
+    this->context.stop_deadline = deadline;
     this->phase_control.stop();
     this->caller_server->close_after_responses();
     co_await pause_for(std::min(accept_time_after_stop, this->settings.shutdown_grace / 2));
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -130,6 +130,8 @@
         return std::nullopt;
     };
     wait_deadlines deadlines = compute_wait_deadlines(this->active, typical_first_event_time, max_wait_factor);
+    deadlines.serving_time =
+        this->context.stream_times[this->active.service].expected(this->active.request.expected_output_tokens);
     deadlines.give_up_at = std::min(deadlines.give_up_at, this->active.canceller.deadline() - this->required_time());
     if (this->has_started_response)
         deadlines = extend_for_started_stream(deadlines, runtime_clock::now() + this->active.canceller.time_left());
@@ -437,11 +439,11 @@
         if (chunk->empty())
             break;
         answer.body += *chunk;
-        if (answer.body.size() > max_error_body_bytes)
+        if (answer.body.size() > max_error_body_bytes) {
+            const std::string size = std::to_string(answer.body.size());
             co_return this->handle_failure(
-                target,
-                error{error_kind::protocol,
-                      "the error response has no end after " + std::to_string(answer.body.size()) + " bytes", ""});
+                target, error{error_kind::protocol, "the error response has no end after " + size + " bytes", ""});
+        }
     }
     this->outcome.status = answer.status;
     co_await this->active.caller.send(std::move(answer));
--- a/src/forward/stream_time_estimate.cpp
+++ b/src/forward/stream_time_estimate.cpp
@@ -11,11 +11,16 @@
     this->ms_per_token = previous + (latest - previous) * latest_stream_weight;
 }
 
-milliseconds stream_time_estimate::required(std::int64_t expected_tokens) const
+milliseconds stream_time_estimate::expected(std::int64_t expected_tokens) const
 {
     if (!this->ms_per_token || expected_tokens <= 0)
         return milliseconds{0};
-    const double expected_ms = *this->ms_per_token * static_cast<double>(expected_tokens);
+    return milliseconds{static_cast<milliseconds::rep>(*this->ms_per_token * static_cast<double>(expected_tokens))};
+}
+
+milliseconds stream_time_estimate::required(std::int64_t expected_tokens) const
+{
+    const double expected_ms = to_ms(this->expected(expected_tokens));
     return milliseconds{static_cast<milliseconds::rep>(expected_ms * shortest_stream_fraction)};
 }
 
--- a/src/forward/stream_time_estimate.h
+++ b/src/forward/stream_time_estimate.h
@@ -23,6 +23,9 @@
     /// `expected_tokens` is not positive.
     void record(std::int64_t expected_tokens, runtime_clock::duration duration);
 
+    /// Returns the expected duration of a stream, or 0 before the first recorded stream.
+    milliseconds expected(std::int64_t expected_tokens) const;
+
     /// Returns how much time must be left for a stream to be started: with less, it would almost certainly be cut at
     /// its deadline and have used the engine for nothing. Returns 0 before the first recorded stream.
     milliseconds required(std::int64_t expected_tokens) const;
--- a/tests/platform/test_troubled_servers.cpp
+++ b/tests/platform/test_troubled_servers.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(dripping_stream_goes_on_at_another_engine);
     CPPUNIT_TEST(dripping_stream_that_may_not_resume_ends_at_its_deadline);
     CPPUNIT_TEST(slow_but_sound_stream_is_not_cut);
+    CPPUNIT_TEST(streams_waiting_at_a_stop_are_refused_or_complete);
     CPPUNIT_TEST(request_being_sent_at_a_stop_is_answered);
     CPPUNIT_TEST(request_on_a_connection_opened_before_the_listener_closes_is_answered);
     CPPUNIT_TEST_SUITE_END();
@@ -120,6 +121,29 @@
         CPPUNIT_ASSERT_EQUAL(1, this->site->engine("d0").runs() + this->site->engine("d1").runs());
     }
 
+    // Load pattern: all engines are busy while a host stops. Streams that get an engine late would be cut by the stop.
+    void streams_waiting_at_a_stop_are_refused_or_complete()
+    {
+        constexpr int streams = 40;
+        this->start(0, 1);
+        this->site->engine("d0").set_work_time(500ms);
+        // Shows the host how long a stream takes.
+        CPPUNIT_ASSERT(this->send("/resume/1", "first", 12'000).get().is_complete);
+        this->site->gateway()->signal(SIGTERM);
+        std::vector<std::future<site_response>> running;
+        for (int i = 0; i < streams; ++i) {
+            if (i == streams / 2)
+                std::this_thread::sleep_for(1'400ms);
+            else if (i == 0)
+                std::this_thread::sleep_for(1s);
+            running.push_back(this->send("/resume/1", "attempt-" + std::to_string(i), 12'000));
+        }
+        for (auto& response : running) {
+            const site_response received = response.get();
+            CPPUNIT_ASSERT(received.status == 503U || received.is_complete);
+        }
+    }
+
     asio::ip::tcp::socket connect(asio::io_context& io)
     {
         asio::ip::tcp::socket socket{io};
