--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -460,6 +460,7 @@
     log_decision("stream_broken", {{"request", this->active.request.id},
                                    {"endpoint", target.id},
                                    {"events", std::to_string(this->relay.event_count())},
+                                   {"left_ms", std::to_string(this->active.canceller.time_left().count())},
                                    {"cause", describe(reason)}});
     if (!this->active.canceller.is_caller_disconnected())
         this->context.record_call_failure(target.incarnation(), reason.kind);
@@ -497,9 +498,13 @@
 asio::awaitable<void> model_forwarder::finish(const error& reason)
 {
     this->outcome.cause = reason.message;
+    if (this->active.canceller.is_caller_disconnected())
+        co_return;
     // A response that has started can only be cut off; the caller sees that its end is missing.
-    if (this->active.canceller.is_caller_disconnected() || this->has_started_response)
+    if (this->has_started_response) {
+        count("radishstep_forward_streams_cut_total", {{"cause", std::string{to_string(reason.kind)}}});
         co_return;
+    }
     const bool may_have_run = this->run_count > 0;
     const error reported = error_for_caller(reason, may_have_run);
     const auto retry_after = retry_after_delay(reported.kind, may_have_run, this->active.canceller.time_left());
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -119,6 +119,7 @@
         bool keep_open = true;
         while (keep_open)
             keep_open = co_await this->serve_request();
+        this->record_unread_request();
         error_code ignored;
         this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     }
@@ -206,6 +207,7 @@
         this->is_head_sent = false;
         const request incoming = to_request(parsed);
         co_await this->handle_request(incoming);
+        ++this->handled_requests;
         co_return !this->is_broken && !this->is_chunked_open && this->is_head_sent && this->may_keep_alive();
     }
 
@@ -243,7 +245,10 @@
             this->buffer.prepare(first_read_bytes), asio::redirect_error(asio::use_awaitable, failure));
         this->state->idle_closers.erase(this);
         this->buffer.commit(size);
-        co_return this->end_read_timeout(failure);
+        const error_code cause = this->end_read_timeout(failure);
+        if (cause == beast::error::timeout)
+            count("radishstep_http_idle_connections_closed_total");
+        co_return cause;
     }
 
     /// Cancels the read in progress after `read_timeout`. The stream's own timeout is not used because it closes the
@@ -281,8 +286,10 @@
     asio::awaitable<void> refuse_unreadable_request(const error_code& failure)
     {
         const bool is_answerable = is_parse_error(failure) || failure == beast::error::timeout;
-        if (!is_answerable)
+        if (!is_answerable) {
+            count("radishstep_http_requests_incomplete_total");
             co_return;
+        }
         count("radishstep_http_malformed_total");
         this->wants_keep_alive = false;
         co_await this->send(this->state->make_refusal(to_request_error(failure)));
@@ -322,6 +329,17 @@
         this->watch_cancel.emit(asio::cancellation_type::all);
     }
 
+    /// Counts a request that arrived while the connection was being closed; its caller gets no answer.
+    void record_unread_request()
+    {
+        // Bytes after a refused or last request are no request of their own.
+        const bool is_next_request_expected = !this->is_broken && this->wants_keep_alive;
+        if (!is_next_request_expected || (this->buffer.size() == 0 && !this->has_unread_bytes()))
+            return;
+        count("radishstep_http_requests_unread_total");
+        log_decision("request_unread", {{"handled_before", std::to_string(this->handled_requests)}});
+    }
+
     bool has_unread_bytes()
     {
         error_code failure;
@@ -353,6 +371,8 @@
     std::shared_ptr<server::shared_state> state;
     std::function<void()> disconnect_hook;
     asio::cancellation_signal watch_cancel;
+    /// Requests handled on this connection.
+    int handled_requests = 0;
     bool is_watching = false;
     bool has_timed_out = false;
     bool wants_keep_alive = true;
