--- a/tests/platform/platform_site.cpp
+++ b/tests/platform/platform_site.cpp
@@ -155,17 +155,27 @@
 
 void platform_site::write_settings(const site_host& host) const
 {
-    const json settings{
-        {"node_name", host.name},
-        {"zone", "a"},
-        {"ip", "127.0.0.1"},
-        {"listen", {{"front", host.callers.text()}, {"ready", host.ready.text()}}},
-        {"internal_ports", {host.peers.port(), host.peers.port()}},
-        {"platform", {{"address", this->store->address()}, {"ttl_min_ms", 1'000}}},
-        {"bounds", {{"retry_budget_ratio", 0.2}, {"budget_window_s", 10}, {"retry_budget_slack", 20}, {"grace_s", 8}}}};
+    const json settings{{"node_name", host.name},
+                        {"zone", "a"},
+                        {"ip", "127.0.0.1"},
+                        {"listen", {{"front", host.callers.text()}, {"ready", host.ready.text()}}},
+                        {"internal_ports", {host.peers.port(), host.peers.port()}},
+                        {"platform", {{"address", this->store->address()}, {"ttl_min_ms", 1'000}}},
+                        {"bounds",
+                         {{"retry_budget_ratio", 0.2},
+                          {"budget_window_s", 10},
+                          {"retry_budget_slack", this->retry_slack},
+                          {"grace_s", 8}}}};
     std::ofstream{this->directory + "/" + host.name + ".json"} << settings.dump();
 }
 
+void platform_site::set_retry_slack(int retries)
+{
+    this->retry_slack = retries;
+    for (const site_host& host : this->hosts)
+        this->write_settings(host);
+}
+
 void platform_site::start_gateway(std::size_t host)
 {
     this->hosts[host].gateway.emplace("radishstep-gateway",
--- a/tests/platform/platform_site.h
+++ b/tests/platform/platform_site.h
@@ -50,6 +50,10 @@
     platform_site(const platform_site&) = delete;
     platform_site& operator=(const platform_site&) = delete;
 
+    /// Sets the number of retries that the hosts may use beside their share of the requests; for gateways started
+    /// after it.
+    void set_retry_slack(int retries);
+
     /// Starts a host's gateway without waiting for it to be ready.
     void start_gateway(std::size_t host = 0);
 
@@ -102,6 +106,7 @@
     std::vector<site_host> hosts;
     std::string directory;
     bool are_files_kept = false;
+    int retry_slack = 20;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     std::thread thread;
     caller calls;
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -282,6 +282,8 @@
         caller.reset();
         co_return false;
     }
+    if (this->current_fault() == engine_fault::late_head)
+        co_await pause_for(stream_pause);
     std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
     for (const http::header& line : this->response_headers(call))
         head += line.name + ": " + line.value + "\r\n";
@@ -305,6 +307,14 @@
             this->mark_caller_disconnected(call);
             co_return false;
         }
+        constexpr int events_before_pause = 3;
+        if (this->current_fault() == engine_fault::pausing_stream && number == start + events_before_pause + 1) {
+            co_await pause_for(stream_pause);
+            if (caller.is_closed_by_peer()) {
+                this->mark_caller_disconnected(call);
+                co_return false;
+            }
+        }
         co_await caller.write(chunk(event));
     }
     co_return co_await caller.write("0\r\n\r\n");
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -44,6 +44,10 @@
     endless_body,
     /// After its third event a stream sends a byte of a comment every 100 ms, and no further event.
     dripping_stream,
+    /// A stream pauses once for standin_engine::stream_pause, after the third event of the call, and goes on.
+    pausing_stream,
+    /// A stream's head comes after standin_engine::stream_pause.
+    late_head,
 };
 
 /// A call that an engine received.
@@ -94,6 +98,9 @@
     /// Number of events in a complete stream.
     static constexpr int stream_events = 8;
 
+    /// How long a sound engine may fall silent on the platform: a second or so.
+    static constexpr milliseconds stream_pause{1'600};
+
 private:
     boost::asio::awaitable<bool> handle_request(const http::request& request, raw_connection& caller);
     static boost::asio::awaitable<void> send_without_end(raw_connection& caller, std::string bytes, milliseconds pause);
--- /dev/null
+++ b/tests/platform/test_silent_engines.cpp
@@ -0,0 +1,134 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <future>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include "platform_site.h"
+
+namespace {
+
+using namespace radishstep;
+using namespace radishstep::testing;
+using namespace std::chrono_literals;
+
+/// Engines that fall silent in a stream, for a while or for good.
+class test_silent_engines : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_silent_engines);
+    CPPUNIT_TEST(stream_outlives_pauses_of_each_engine_beside_a_configuration_change);
+    CPPUNIT_TEST(stream_stays_with_its_silent_engine_if_there_is_no_other);
+    CPPUNIT_TEST(stream_stays_with_its_silent_engine_if_the_other_is_full);
+    CPPUNIT_TEST(stream_stays_with_its_silent_engine_if_the_retry_budget_is_spent);
+    CPPUNIT_TEST(late_head_of_the_only_engine_is_awaited);
+    CPPUNIT_TEST(stream_leaves_an_engine_that_stays_silent);
+    CPPUNIT_TEST(caller_that_leaves_a_silent_stream_ends_its_run);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void start(int decode_engines, engine_fault fault, int retry_slack = 20)
+    {
+        this->site = std::make_unique<platform_site>(0, 0, decode_engines);
+        this->site->set_retry_slack(retry_slack);
+        for (const auto& [id, engine] : this->site->engines)
+            engine->set_fault(fault);
+        this->site->start_gateway();
+        CPPUNIT_ASSERT(this->site->wait_until_ready());
+    }
+
+    void tearDown() override { this->site.reset(); }
+
+    std::future<site_response> send(const std::string& id, milliseconds disconnect_after = 0ms)
+    {
+        site_request request;
+        request.path = "/resume/1";
+        request.id = id;
+        request.deadline_ms = 10'000;
+        request.disconnect_after = disconnect_after;
+        request.extra_headers = {{"Model", "m"}, {"Token-Count", "3000,100"}, {"Prefix-Hash", "a:200,b:2800"}};
+        return boost::asio::co_spawn(this->site->io, call_gateway(this->site->callers_address(), request),
+                                     boost::asio::use_future);
+    }
+
+    void check_whole(const std::string& id, const site_response& response)
+    {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(this->site->log(), 200U, response.status);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(this->site->log(), whole_stream(id), response.body);
+        CPPUNIT_ASSERT_MESSAGE(this->site->log(), response.is_complete);
+    }
+
+    // Guards against streams that are cut with time left because each of the engines that the route allows was given
+    // up when it only paused.
+    void stream_outlives_pauses_of_each_engine_beside_a_configuration_change()
+    {
+        this->start(2, engine_fault::pausing_stream);
+        auto response = this->send("attempt-1");
+        std::this_thread::sleep_for(500ms);
+        this->site->write_config(2, "/added/");
+        this->check_whole("attempt-1", response.get());
+    }
+
+    // Guards against streams that lose a sound engine before another one is found.
+    void stream_stays_with_its_silent_engine_if_there_is_no_other()
+    {
+        this->start(1, engine_fault::pausing_stream);
+        this->check_whole("attempt-1", this->send("attempt-1").get());
+        CPPUNIT_ASSERT_EQUAL(1, this->site->engine("d0").runs());
+    }
+
+    // Guards against streams that lose a sound engine to one that then rejects them.
+    void stream_stays_with_its_silent_engine_if_the_other_is_full()
+    {
+        this->start(2, engine_fault::pausing_stream);
+        this->site->engine("d1").set_fault(engine_fault::shed);
+        for (const char* id : {"attempt-1", "attempt-2", "attempt-3"})
+            this->check_whole(id, this->send(id).get());
+        CPPUNIT_ASSERT_EQUAL(0, this->site->engine("d1").runs());
+    }
+
+    // Guards against streams that are cut because other requests have spent the retries.
+    void stream_stays_with_its_silent_engine_if_the_retry_budget_is_spent()
+    {
+        this->start(2, engine_fault::pausing_stream, 0);
+        this->check_whole("attempt-1", this->send("attempt-1").get());
+        CPPUNIT_ASSERT_EQUAL(1, this->site->engine("d0").runs() + this->site->engine("d1").runs());
+    }
+
+    // Guards against requests that fail while their only engine is about to answer.
+    void late_head_of_the_only_engine_is_awaited()
+    {
+        this->start(1, engine_fault::late_head);
+        this->check_whole("attempt-1", this->send("attempt-1").get());
+    }
+
+    // Guards against patience with an engine that never goes on while another one is free.
+    void stream_leaves_an_engine_that_stays_silent()
+    {
+        this->start(2, engine_fault::none);
+        this->site->engine("d0").set_fault(engine_fault::never_answers);
+        constexpr int most_streams = 60;
+        for (int i = 0; this->site->engine("d0").runs() == 0 && i < most_streams; ++i) {
+            const std::string id = "attempt-" + std::to_string(i);
+            this->check_whole(id, this->send(id).get());
+        }
+        CPPUNIT_ASSERT_EQUAL(1, this->site->engine("d0").runs());
+        CPPUNIT_ASSERT(wait_until([this] { return this->site->engine("d0").calls().front().caller_disconnected; }));
+    }
+
+    // Guards against engines that work on for a caller that has left.
+    void caller_that_leaves_a_silent_stream_ends_its_run()
+    {
+        this->start(1, engine_fault::never_answers);
+        this->send("attempt-1", 2s).get();
+        CPPUNIT_ASSERT(
+            wait_until([this] { return this->site->engine("d0").calls().front().caller_disconnected; }, 500ms));
+    }
+
+private:
+    std::unique_ptr<platform_site> site;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_silent_engines);
+
+} // namespace
