Keep the engine of a silent stream until another one runs the request

Cause: an engine that sent no event for 1.2 s was given up, and its connection closed, before another one was secured. What ended the request then was one of the router's own limits: both engines that the route allows had paused, the retry budget was spent, the other engine was full, or there was none. A sound engine may fall silent for a second or so. The class of the fault: work that may still succeed is given up on a suspicion, before its replacement is certain.

Change: a read of a response that times out leaves the connection open and can be repeated (http::body_stream), and a request can be sent without waiting for the head. The forwarder keeps the call of a silent engine while it seeks another one, goes back to it when bytes arrive or nothing else takes the request, and closes it when another engine has accepted the request, or 250 ms after that engine was called. Where no other engine may be asked, the stream waits until its deadline.

Why it works: no limit of the router ends a stream any more while an engine may still finish it.

--- a/src/forward/call_canceller.cpp
+++ b/src/forward/call_canceller.cpp
@@ -39,6 +39,13 @@
     return this->running_call;
 }
 
+void call_canceller::resume_call(std::shared_ptr<http::call_abort> call)
+{
+    this->running_call = std::move(call);
+    if (this->has_disconnected)
+        this->running_call->abort();
+}
+
 void call_canceller::stop()
 {
     this->deadline_timer.cancel();
--- a/src/forward/call_canceller.h
+++ b/src/forward/call_canceller.h
@@ -23,6 +23,9 @@
     /// Returns the abort handle for the next call, which replaces the previous one.
     std::shared_ptr<http::call_abort> begin_call();
 
+    /// Makes an earlier call the running one again.
+    void resume_call(std::shared_ptr<http::call_abort> call);
+
     /// Stops the deadline timer and drops the abort handle of the running call, which is not aborted.
     void stop();
 
--- a/src/forward/capacity_wait.cpp
+++ b/src/forward/capacity_wait.cpp
@@ -75,12 +75,15 @@
         return {error_kind::no_endpoint, "no endpoint of the service takes the request", remedy};
     if (cause == selection_failure::host_stopping)
         return {error_kind::unavailable, "this host stops before the request could be completed", "ask another host"};
+    if (cause == selection_failure::not_needed)
+        return {error_kind::overloaded, "the silent engine goes on", remedy};
     return {error_kind::overloaded, "all endpoints of the service are full", remedy};
 }
 
 asio::awaitable<std::optional<selection_failure>> wait_for_capacity(forward_context& context, active_request active,
                                                                     const excluded_endpoints& excluded,
-                                                                    wait_deadlines deadlines, endpoint_selector select)
+                                                                    wait_deadlines deadlines, endpoint_selector select,
+                                                                    std::function<bool()> is_needed)
 {
     request_queue& queue = context.request_queues[active.service];
     const time_point start = runtime_clock::now();
@@ -91,6 +94,10 @@
         const time_point now = runtime_clock::now();
         if (const lateness late = deadlines.lateness_at(now); late != entry.rank.late)
             entry = queue.update_lateness(entry, late);
+        if (!is_needed()) {
+            failure = selection_failure::not_needed;
+            break;
+        }
         if (context.stop_deadline && now + deadlines.serving_time >= *context.stop_deadline) {
             failure = selection_failure::host_stopping;
             break;
--- a/src/forward/capacity_wait.h
+++ b/src/forward/capacity_wait.h
@@ -42,10 +42,11 @@
 /// Tries to select endpoints; returns why there are none, or nothing on success.
 using endpoint_selector = std::function<std::optional<selection_failure>(const selection_context& selection)>;
 
-/// Waits in the service's queue until `select` succeeds. Returns the last failure if it did not.
-boost::asio::awaitable<std::optional<selection_failure>>
-wait_for_capacity(forward_context& context, active_request active, const excluded_endpoints& excluded,
-                  wait_deadlines deadlines, endpoint_selector select);
+/// Waits in the service's queue until `select` succeeds, or until `is_needed` returns false. Returns the last failure
+/// if no endpoint was selected.
+boost::asio::awaitable<std::optional<selection_failure>> wait_for_capacity(
+    forward_context& context, active_request active, const excluded_endpoints& excluded, wait_deadlines deadlines,
+    endpoint_selector select, std::function<bool()> is_needed = [] { return true; });
 
 /// Returns the error for a request that got no endpoint.
 error to_error(selection_failure cause);
--- a/src/forward/endpoint_chooser.h
+++ b/src/forward/endpoint_chooser.h
@@ -54,7 +54,8 @@
 };
 
 /// Why no endpoint was selected. `host_stopping`: an endpoint could not complete the request before this host stops.
-enum class selection_failure { no_endpoint, full, host_stopping };
+/// `not_needed`: the request was no longer waiting for one.
+enum class selection_failure { no_endpoint, full, host_stopping, not_needed };
 
 /// Selects endpoints by load, observed health and zone. Keeps no state of its own.
 class endpoint_chooser
--- /dev/null
+++ b/src/forward/engine_call.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <memory>
+
+#include "forward/endpoint.h"
+#include "forward/forward_context.h"
+#include "http/client.h"
+
+namespace radishstep::forward {
+
+/// A decode call that was sent to an engine, and the load that it puts on the engine.
+struct engine_call
+{
+    endpoint target;
+    std::unique_ptr<load_guard> load;
+    std::unique_ptr<http::body_stream> stream;
+    /// Ends the call when the caller disconnects or the deadline passes.
+    std::shared_ptr<http::call_abort> abort;
+    time_point sent_at;
+    bool has_head = false;
+    /// The relay has got bytes of this call, which go on after them.
+    bool is_relaying = false;
+    /// The engine is counted among those that ran the request.
+    bool is_counted = false;
+};
+
+} // namespace radishstep::forward
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -25,8 +25,13 @@
 /// A prefill result is not used in the last part of its lifetime, since the decode engine could fetch it too late.
 constexpr milliseconds prefill_fetch_margin{60};
 
-/// Idle timeout of a stream that may resume at another engine; callers abandon a stream after longer gaps.
-constexpr milliseconds resumable_stream_idle_timeout{1'200};
+/// Time without an event after which a stream that may resume is offered to another engine; callers abandon a stream
+/// after longer gaps.
+constexpr milliseconds engine_silence_limit{1'200};
+
+/// How long a silent engine may still work on a request after another engine was called for it: an engine that cannot
+/// take the request says so within a few round trips, and two engines should not work on it for longer.
+constexpr milliseconds handover_time{250};
 
 /// Longest body of an engine's error response that is forwarded.
 constexpr std::size_t max_error_body_bytes = 64UL * 1024;
@@ -67,19 +72,28 @@
     std::optional<error> reason;
     while (true) {
         reason = this->reason_to_stop();
-        if (reason)
-            break;
-        auto reserved = co_await this->wait_for_reservation();
-        if (!reserved) {
-            reason = reserved.error();
+        if (reason && !this->may_await_silent_engine())
             break;
+        next_step next = next_step::retry;
+        if (reason || this->has_silent_engine_resumed()) {
+            next = co_await this->resume_silent_call();
+        } else {
+            auto reserved = co_await this->wait_for_reservation();
+            if (reserved) {
+                next = co_await this->serve_with(*reserved);
+            } else if (this->may_await_silent_engine()) {
+                next = co_await this->resume_silent_call();
+            } else {
+                reason = reserved.error();
+                break;
+            }
         }
-        const next_step next = co_await this->serve_with(*reserved);
         if (next == next_step::done) {
             reason = this->budget_error;
             break;
         }
     }
+    this->silent_call.reset();
     this->release_prefill();
     if (reason)
         co_await this->finish(*reason);
@@ -135,8 +149,9 @@
     deadlines.give_up_at = std::min(deadlines.give_up_at, this->active.canceller.deadline() - this->required_time());
     if (this->has_started_response)
         deadlines = extend_for_started_stream(deadlines, runtime_clock::now() + this->active.canceller.time_left());
-    const auto no_engine_cause = co_await wait_for_capacity(this->context, this->active, this->excluded_engines,
-                                                            deadlines, std::move(select_engines));
+    const auto no_engine_cause =
+        co_await wait_for_capacity(this->context, this->active, this->excluded_engines, deadlines,
+                                   std::move(select_engines), [this] { return !this->has_silent_engine_resumed(); });
     if (this->active.canceller.is_caller_disconnected())
         co_return fail(error_kind::caller_gone, "the caller disconnected", "");
     if (no_engine_cause)
@@ -197,7 +212,7 @@
     if (reserved.engines.prefill) {
         const endpoint prefill_engine = *reserved.engines.prefill;
         if (!this->try_spend_retry_budget(this->delivered_prefill_calls))
-            co_return next_step::done;
+            co_return co_await this->stop_without_budget();
         const bool is_prefilled = co_await this->run_prefill(prefill_engine);
         reserved.prefill_load->end();
         if (!is_prefilled) {
@@ -205,13 +220,13 @@
             co_return next_step::retry;
         }
     }
-    if (this->active.canceller.is_caller_disconnected())
+    if (this->active.canceller.is_caller_disconnected() || this->has_silent_engine_resumed())
         co_return next_step::retry;
     if (!this->confirm_decode_engine(reserved))
         co_return next_step::retry;
     if (!this->try_spend_retry_budget(this->delivered_decode_calls))
-        co_return next_step::done;
-    co_return co_await this->run_decode(reserved.engines.decode, *reserved.decode_load);
+        co_return co_await this->stop_without_budget();
+    co_return co_await this->run_decode(reserved);
 }
 
 void model_forwarder::record_delivery_or_refund(int& delivered_calls, bool is_delivered)
@@ -333,54 +348,100 @@
     co_return true;
 }
 
-asio::awaitable<model_forwarder::next_step> model_forwarder::run_decode(const endpoint& target, load_guard& decode_load)
+asio::awaitable<model_forwarder::next_step> model_forwarder::run_decode(reservation& reserved)
 {
-    const time_point sent_at = runtime_clock::now();
+    auto call = std::make_unique<engine_call>();
+    call->target = reserved.engines.decode;
+    call->load = std::move(reserved.decode_load);
+    call->abort = this->active.canceller.begin_call();
+    call->sent_at = runtime_clock::now();
     http::call_options options;
     options.connect_timeout = std::min(connect_timeout, this->active.canceller.time_left());
     options.idle_timeout = this->active.canceller.time_left();
     if (this->active.matched_route.is_repeatable)
-        options.idle_timeout = std::min(options.idle_timeout, resumable_stream_idle_timeout);
+        options.idle_timeout = std::min(options.idle_timeout, engine_silence_limit);
     options.fresh_connection = true;
-    options.abort = this->active.canceller.begin_call();
+    options.abort = call->abort;
     ++this->decode_sends;
-    this->outcome.endpoint = target.id;
-    this->excluded_engines.insert(target.incarnation());
-    http::request call = this->make_decode_call(target);
-    auto stream = co_await this->context.http_client.open(target.address, std::move(call), std::move(options));
+    this->outcome.endpoint = call->target.id;
+    this->excluded_engines.insert(call->target.incarnation());
+    http::request request = this->make_decode_call(call->target);
+    auto stream = co_await this->context.http_client.send(call->target.address, std::move(request), std::move(options));
     this->record_delivery_or_refund(this->delivered_decode_calls,
                                     stream.has_value() || may_have_arrived(stream.error().kind));
     if (!stream)
-        co_return this->handle_failure(target, stream.error());
-    this->log_call("decode_answered", target, sent_at, (*stream)->head());
+        co_return this->handle_failure(*call, stream.error());
+    call->stream = std::move(*stream);
+    co_return co_await this->follow(std::move(call));
+}
+
+/// Relays the answer of a call from where it stands. Returns with the call kept as the silent one if another engine may
+/// be asked meanwhile.
+asio::awaitable<model_forwarder::next_step> model_forwarder::follow(std::unique_ptr<engine_call> call)
+{
+    if (call->has_head)
+        co_return co_await this->relay_stream(std::move(call));
+    const auto failure = co_await this->read_head(*call);
+    if (failure && failure->kind == error_kind::timed_out && this->may_ask_another_engine(*call))
+        co_return this->leave_silent(std::move(call));
+    if (failure)
+        co_return this->handle_failure(*call, *failure);
+    call->has_head = true;
+    const http::response& head = call->stream->head();
+    this->log_call("decode_answered", call->target, call->sent_at, head);
+    const std::string incarnation = call->target.incarnation();
     const time_point now = runtime_clock::now();
-    switch (this->context.dialect.classify_answer(this->active.request, (*stream)->head())) {
+    switch (this->context.dialect.classify_answer(this->active.request, head)) {
     case answer_kind::not_executed:
-        this->context.health.record_outcome(target.incarnation(), call_outcome::rejected, now);
+        this->context.health.record_outcome(incarnation, call_outcome::rejected, now);
+        if (call->is_counted)
+            --this->run_count;
         co_return next_step::retry;
     case answer_kind::wrong_endpoint:
-        this->context.mark_down(target.incarnation());
+        this->context.mark_down(incarnation);
         co_return next_step::retry;
     case answer_kind::wrong_request:
     case answer_kind::unverified:
         this->prefilled.reset();
-        ++this->run_count;
-        this->context.health.record_outcome(target.incarnation(), call_outcome::failed, now);
+        this->count_run(*call);
+        this->context.health.record_outcome(incarnation, call_outcome::failed, now);
         co_return next_step::retry;
     case answer_kind::executed:
         break;
     }
     this->prefilled.reset();
-    ++this->run_count;
-    if ((*stream)->head().status >= min_failure_status)
-        co_return co_await this->handle_error_response(target, **stream);
-    co_return co_await this->relay_stream(target, decode_load, **stream, sent_at);
+    this->count_run(*call);
+    if (head.status >= min_failure_status)
+        co_return co_await this->handle_error_response(*call);
+    this->silent_call.reset();
+    co_return co_await this->relay_stream(std::move(call));
 }
 
-asio::awaitable<model_forwarder::next_step> model_forwarder::relay_stream(const endpoint& target,
-                                                                          load_guard& decode_load,
-                                                                          http::body_stream& stream, time_point sent_at)
+/// Returns why the head was not read: `timed_out` if the engine is silent.
+asio::awaitable<std::optional<error>> model_forwarder::read_head(engine_call& call)
 {
+    const time_point deadline = this->active.canceller.deadline();
+    if (this->silent_call) {
+        call.stream->set_read_timeout(std::min(handover_time, time_until(deadline)));
+        const auto read = co_await call.stream->read_head();
+        if (read)
+            co_return std::nullopt;
+        if (read.error().kind != error_kind::timed_out)
+            co_return read.error();
+        this->silent_call.reset();
+    }
+    const bool may_ask_another = this->may_ask_another_engine(call);
+    call.stream->set_read_timeout(may_ask_another ? std::min(engine_silence_limit, time_until(deadline))
+                                                  : time_until(deadline));
+    const auto read = co_await call.stream->read_head();
+    if (!read)
+        co_return read.error();
+    co_return std::nullopt;
+}
+
+asio::awaitable<model_forwarder::next_step> model_forwarder::relay_stream(std::unique_ptr<engine_call> call)
+{
+    http::body_stream& stream = *call->stream;
     if (!this->has_started_response) {
         this->has_started_response = true;
         http::response head = this->context.dialect.make_caller_head(stream.head());
@@ -389,21 +450,25 @@
         if (!is_head_sent)
             co_return next_step::retry;
     }
-    this->relay.discard_partial_event();
+    if (!std::exchange(call->is_relaying, true))
+        this->relay.discard_partial_event();
     time_point last_progress_at = runtime_clock::now();
     while (true) {
         // Only whole events count as progress: an engine that stalls may still send comments or parts of an event.
-        if (this->active.matched_route.is_repeatable)
-            stream.set_read_timeout(time_until(last_progress_at + resumable_stream_idle_timeout));
+        const bool may_ask_another = this->may_ask_another_engine(*call);
+        stream.set_read_timeout(
+            time_until(may_ask_another ? last_progress_at + engine_silence_limit : this->active.canceller.deadline()));
         auto chunk = co_await stream.next();
+        if (!chunk && chunk.error().kind == error_kind::timed_out && may_ask_another)
+            co_return this->leave_silent(std::move(call));
         if (!chunk)
-            co_return this->handle_failure(target, chunk.error());
+            co_return this->handle_failure(*call, chunk.error());
         const bool is_end = chunk->empty();
         const int events_before = this->relay.event_count();
         std::string new_events = is_end ? this->relay.take_remainder() : this->relay.push(*chunk);
-        decode_load.add_tokens((this->relay.event_count() - events_before) * this->tokens_per_event());
+        call->load->add_tokens((this->relay.event_count() - events_before) * this->tokens_per_event());
         if (this->relay.is_broken())
-            co_return this->handle_failure(target, error{error_kind::protocol, "an event is too long", ""});
+            co_return this->handle_failure(*call, error{error_kind::protocol, "an event is too long", ""});
         if (!new_events.empty()) {
             this->record_event_time();
             last_progress_at = runtime_clock::now();
@@ -415,34 +480,33 @@
             break;
     }
     const time_point now = runtime_clock::now();
-    this->context.health.record_outcome(target.incarnation(), call_outcome::answered, now);
+    this->context.health.record_outcome(call->target.incarnation(), call_outcome::answered, now);
     if (this->decode_sends == 1)
         this->context.stream_times[this->active.service].record(this->active.request.expected_output_tokens,
-                                                                now - sent_at);
+                                                                now - call->sent_at);
     co_await this->active.caller.finish();
     co_return next_step::done;
 }
 
-asio::awaitable<model_forwarder::next_step> model_forwarder::handle_error_response(const endpoint& target,
-                                                                                   http::body_stream& stream)
+asio::awaitable<model_forwarder::next_step> model_forwarder::handle_error_response(engine_call& call)
 {
-    this->context.health.record_outcome(target.incarnation(), call_outcome::failed, runtime_clock::now());
+    this->context.health.record_outcome(call.target.incarnation(), call_outcome::failed, runtime_clock::now());
     if (this->active.matched_route.is_repeatable && this->run_count < this->active.matched_route.max_endpoints)
         co_return next_step::retry;
-    if (this->has_started_response)
+    if (this->has_started_response || this->silent_call)
         co_return next_step::retry;
-    http::response answer = this->context.dialect.make_caller_head(stream.head());
+    http::response answer = this->context.dialect.make_caller_head(call.stream->head());
     while (true) {
-        auto chunk = co_await stream.next();
+        auto chunk = co_await call.stream->next();
         if (!chunk)
-            co_return this->handle_failure(target, chunk.error());
+            co_return this->handle_failure(call, chunk.error());
         if (chunk->empty())
             break;
         answer.body += *chunk;
         if (answer.body.size() > max_error_body_bytes) {
             const std::string size = std::to_string(answer.body.size());
             co_return this->handle_failure(
-                target, error{error_kind::protocol, "the error response has no end after " + size + " bytes", ""});
+                call, error{error_kind::protocol, "the error response has no end after " + size + " bytes", ""});
         }
     }
     this->outcome.status = answer.status;
@@ -450,23 +514,79 @@
     co_return next_step::done;
 }
 
-model_forwarder::next_step model_forwarder::handle_failure(const endpoint& target, const error& reason)
+void model_forwarder::count_run(engine_call& call)
 {
-    const bool may_have_run = may_have_arrived(reason.kind);
-    if (may_have_run)
-        this->prefilled.reset();
-    if (may_have_run && !this->has_started_response)
+    if (!std::exchange(call.is_counted, true))
         ++this->run_count;
+}
+
+model_forwarder::next_step model_forwarder::handle_failure(engine_call& call, const error& reason)
+{
+    if (may_have_arrived(reason.kind)) {
+        this->prefilled.reset();
+        this->count_run(call);
+    }
     log_decision("stream_broken", {{"request", this->active.request.id},
-                                   {"endpoint", target.id},
+                                   {"endpoint", call.target.id},
                                    {"events", std::to_string(this->relay.event_count())},
                                    {"left_ms", std::to_string(this->active.canceller.time_left().count())},
                                    {"cause", describe(reason)}});
     if (!this->active.canceller.is_caller_disconnected())
-        this->context.record_call_failure(target.incarnation(), reason.kind);
+        this->context.record_call_failure(call.target.incarnation(), reason.kind);
     return next_step::retry;
 }
 
+/// Returns whether the request may go on at an engine other than that of `call`.
+bool model_forwarder::may_ask_another_engine(const engine_call& call) const
+{
+    const unsigned runs = this->run_count + (call.is_counted ? 0 : 1);
+    return this->active.matched_route.is_repeatable && runs < this->active.matched_route.max_endpoints &&
+           this->decode_sends + this->prefill_sends < max_model_sends;
+}
+
+/// Keeps the call of a silent engine open, so that its answer can go on if no other engine takes the request.
+model_forwarder::next_step model_forwarder::leave_silent(std::unique_ptr<engine_call> call)
+{
+    this->prefilled.reset();
+    this->count_run(*call);
+    count("radishstep_forward_engine_silences_total");
+    log_decision("engine_silent", {{"request", this->active.request.id},
+                                   {"endpoint", call->target.id},
+                                   {"events", std::to_string(this->relay.event_count())},
+                                   {"left_ms", std::to_string(this->active.canceller.time_left().count())}});
+    this->context.record_call_failure(call->target.incarnation(), error_kind::timed_out);
+    this->silent_call = std::move(call);
+    return next_step::retry;
+}
+
+bool model_forwarder::may_await_silent_engine() const
+{
+    return this->silent_call && !this->active.canceller.is_caller_disconnected() &&
+           this->active.canceller.time_left() >= min_forward_time;
+}
+
+bool model_forwarder::has_silent_engine_resumed() const
+{
+    return this->silent_call && this->silent_call->stream->has_unread_bytes();
+}
+
+asio::awaitable<model_forwarder::next_step> model_forwarder::resume_silent_call()
+{
+    std::unique_ptr<engine_call> call = std::move(this->silent_call);
+    this->active.canceller.resume_call(call->abort);
+    this->outcome.endpoint = call->target.id;
+    co_return co_await this->follow(std::move(call));
+}
+
+/// Ends the request, or waits for a silent engine: it may go on, or the budget may allow a call later.
+asio::awaitable<model_forwarder::next_step> model_forwarder::stop_without_budget()
+{
+    if (!this->may_await_silent_engine())
+        co_return next_step::done;
+    this->budget_error.reset();
+    co_return co_await this->resume_silent_call();
+}
+
 void model_forwarder::release_prefill()
 {
     if (!this->has_prefilled_prompt())
--- a/src/forward/model_forwarder.h
+++ b/src/forward/model_forwarder.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <tl/expected.hpp>
 
+#include "forward/engine_call.h"
 #include "forward/event_relay.h"
 #include "forward/plain_forwarder.h"
 
@@ -66,11 +67,19 @@
     void log_call(std::string_view event, const endpoint& target, time_point sent_at,
                   const http::response& answer) const;
     void log_call(std::string_view event, const endpoint& target, time_point sent_at, const error& reason) const;
-    boost::asio::awaitable<next_step> run_decode(const endpoint& target, load_guard& decode_load);
-    boost::asio::awaitable<next_step> relay_stream(const endpoint& target, load_guard& decode_load,
-                                                   http::body_stream& stream, time_point sent_at);
-    boost::asio::awaitable<next_step> handle_error_response(const endpoint& target, http::body_stream& stream);
-    next_step handle_failure(const endpoint& target, const error& reason);
+    boost::asio::awaitable<next_step> run_decode(reservation& reserved);
+    boost::asio::awaitable<next_step> follow(std::unique_ptr<engine_call> call);
+    boost::asio::awaitable<std::optional<error>> read_head(engine_call& call);
+    boost::asio::awaitable<next_step> relay_stream(std::unique_ptr<engine_call> call);
+    boost::asio::awaitable<next_step> handle_error_response(engine_call& call);
+    next_step handle_failure(engine_call& call, const error& reason);
+    void count_run(engine_call& call);
+    bool may_ask_another_engine(const engine_call& call) const;
+    next_step leave_silent(std::unique_ptr<engine_call> call);
+    bool may_await_silent_engine() const;
+    bool has_silent_engine_resumed() const;
+    boost::asio::awaitable<next_step> resume_silent_call();
+    boost::asio::awaitable<next_step> stop_without_budget();
     void release_prefill();
     bool try_spend_retry_budget(int delivered_calls);
     void record_delivery_or_refund(int& delivered_calls, bool is_delivered);
@@ -84,6 +93,9 @@
     request_outcome outcome;
     std::optional<time_point> last_event_at;
     std::optional<prefilled_prompt> prefilled;
+    /// The call of an engine that has fallen silent. It stays open while another engine is sought, since a sound engine
+    /// may pause; it is closed when another engine runs the request.
+    std::unique_ptr<engine_call> silent_call;
     bool has_started_response = false;
     /// Decode engines that ran the request or may have run it.
     unsigned run_count = 0;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -87,9 +87,9 @@
     return answer;
 }
 
-bool is_usable(connection& candidate)
+/// Returns whether a connection is open and nothing has arrived on it.
+bool is_quiet(connection& candidate)
 {
-    // A readable idle connection was closed by the endpoint or carries bytes that no request asked for.
     char next = 0;
     error_code failure;
     auto& socket = candidate.stream.socket();
@@ -165,7 +165,9 @@
             queue.pop_back();
             const bool is_within_keep_alive =
                 candidate->idle_since + candidate->keep_alive_timeout > runtime_clock::now();
-            if (is_within_keep_alive && is_usable(*candidate))
+            // An idle connection on which something arrives was closed by the endpoint or carries bytes that no request
+            // asked for.
+            if (is_within_keep_alive && is_quiet(*candidate))
                 return candidate;
         }
         return nullptr;
@@ -223,6 +225,39 @@
 
 namespace {
 
+/// Cancels the read in progress after a timeout. The stream's own timeout is not used because it closes the connection,
+/// so that the read could not be repeated.
+class read_timer
+{
+public:
+    read_timer(const connection_ptr& conn, milliseconds timeout)
+        : expiry(conn->stream.get_executor(), runtime_clock::now() + timeout),
+          has_expired(std::make_shared<bool>(false))
+    {
+        conn->stream.expires_never();
+        this->expiry.async_wait([weak = std::weak_ptr<connection>{conn},
+                                 is_over = std::weak_ptr<bool>{this->has_expired}](const error_code& cancelled) {
+            // A handler that was queued before the read ended must not cancel the next one.
+            const auto running = weak.lock();
+            const auto expired = is_over.lock();
+            if (cancelled || !running || !expired)
+                return;
+            *expired = true;
+            running->stream.cancel();
+        });
+    }
+
+    /// Returns beast::error::timeout if the timeout was the cause of a read's failure.
+    error_code cause_of(const error_code& failure) const
+    {
+        return *this->has_expired ? error_code{beast::error::timeout} : failure;
+    }
+
+private:
+    timer expiry;
+    std::shared_ptr<bool> has_expired;
+};
+
 /// A response body that is read from its connection in parts. A reusable connection returns to the pool after
 /// the last part; it is closed if the stream is destroyed earlier.
 class connection_stream : public body_stream
@@ -247,21 +282,24 @@
     connection_stream(const connection_stream&) = delete;
     connection_stream& operator=(const connection_stream&) = delete;
 
-    asio::awaitable<error_code> read_head()
+    asio::awaitable<result<void>> read_head() override
     {
+        const read_timer timer{this->conn, this->read_timeout};
         error_code failure;
-        this->conn->stream.expires_after(this->options.idle_timeout);
         co_await beast::http::async_read_header(this->conn->stream, this->conn->buffer, this->parser,
                                                 asio::redirect_error(asio::use_awaitable, failure));
-        if (!failure)
-            this->response_head = to_response(this->parser.get());
-        co_return failure;
+        if (failure)
+            co_return to_call_error(timer.cause_of(failure));
+        this->response_head = to_response(this->parser.get());
+        co_return result<void>{};
     }
 
     const response& head() const override { return this->response_head; }
 
     void set_read_timeout(milliseconds timeout) override { this->read_timeout = timeout; }
 
+    bool has_unread_bytes() override { return !is_quiet(*this->conn); }
+
     asio::awaitable<result<std::string>> next() override
     {
         std::string part;
@@ -270,12 +308,12 @@
             body.data = this->read_buffer.data();
             body.size = this->read_buffer.size();
             body.more = true;
+            const read_timer timer{this->conn, this->read_timeout};
             error_code failure;
-            this->conn->stream.expires_after(this->read_timeout);
             co_await beast::http::async_read_some(this->conn->stream, this->conn->buffer, this->parser,
                                                   asio::redirect_error(asio::use_awaitable, failure));
             if (failure && failure != beast::http::error::need_buffer)
-                co_return to_call_error(failure);
+                co_return to_call_error(timer.cause_of(failure));
             part.assign(this->read_buffer.data(), this->read_buffer.size() - body.size);
         }
         if (part.empty() && this->parser.keep_alive() && !this->options.fresh_connection &&
@@ -385,6 +423,18 @@
 
 asio::awaitable<result<std::unique_ptr<body_stream>>> client::open(std::string address, request outgoing,
                                                                    call_options options)
+{
+    auto stream = co_await this->send(std::move(address), std::move(outgoing), std::move(options));
+    if (!stream)
+        co_return stream;
+    const auto read = co_await (*stream)->read_head();
+    if (!read)
+        co_return tl::unexpected{read.error()};
+    co_return stream;
+}
+
+asio::awaitable<result<std::unique_ptr<body_stream>>> client::send(std::string address, request outgoing,
+                                                                   call_options options)
 {
     const auto pool = this->idle_connections;
     auto conn = co_await pool->send_request(address, std::move(outgoing), options);
@@ -392,11 +442,7 @@
         clear_abort_hook(options);
         co_return tl::unexpected{conn.error()};
     }
-    auto stream = std::make_unique<connection_stream>(*conn, options, pool, address);
-    const error_code failure = co_await stream->read_head();
-    if (failure)
-        co_return to_call_error(failure);
-    co_return std::unique_ptr<body_stream>{std::move(stream)};
+    co_return std::make_unique<connection_stream>(*conn, options, pool, address);
 }
 
 } // namespace radishstep::http
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -38,8 +38,8 @@
 struct call_options
 {
     milliseconds connect_timeout{1'000};
-    /// Limits the sending of the request. client::call() then applies it to the whole response, client::open() to the
-    /// head and to each read of the body.
+    /// Limits the sending of the request. client::call() then applies it to the whole response, client::open() and
+    /// client::send() to the head and to each read of the body.
     milliseconds idle_timeout{5'000};
     /// Opens a new connection for the call and does not return it to the idle pool.
     bool fresh_connection = false;
@@ -49,21 +49,28 @@
     std::function<bool(const response&)> is_matching_response;
 };
 
-/// A response whose body is read in parts as it arrives.
+/// A response that is read in parts as it arrives. A read that takes longer than the read timeout fails with
+/// `timed_out` and leaves the connection open, so that it can be repeated. Destruction closes the connection of a
+/// response that has not been read to its end.
 class body_stream
 {
 public:
     virtual ~body_stream() = default;
 
-    /// Returns status and headers of the response; its body is empty.
+    /// Reads status and headers. A connection that closes earlier is an error.
+    virtual boost::asio::awaitable<result<void>> read_head() = 0;
+
+    /// Returns status and headers of the response once they have been read; its body is empty.
     virtual const response& head() const = 0;
 
-    /// Returns the next bytes of the body, or "" at its regular end. A connection that closes earlier is an error, and
-    /// so is one that delivers no bytes within the read timeout.
+    /// Returns the next bytes of the body, or "" at its regular end. A connection that closes earlier is an error.
     virtual boost::asio::awaitable<result<std::string>> next() = 0;
 
-    /// Sets the time that next() may take from now on; initially the call's idle timeout.
+    /// Sets the time that each read may take from now on; initially the call's idle timeout.
     virtual void set_read_timeout(milliseconds timeout) = 0;
+
+    /// Returns whether bytes have arrived that were not read yet, or the connection has ended.
+    virtual bool has_unread_bytes() = 0;
 };
 
 /// HTTP/1.1 client on one executor, with a pool of idle connections per address. Endpoints that send bytes without end
@@ -94,6 +101,10 @@
     boost::asio::awaitable<result<std::unique_ptr<body_stream>>> open(std::string address, request outgoing,
                                                                       call_options options);
 
+    /// Sends a request and returns its response as a stream whose head has not been read.
+    boost::asio::awaitable<result<std::unique_ptr<body_stream>>> send(std::string address, request outgoing,
+                                                                      call_options options);
+
     /// Connections that stay open between calls.
     struct idle_pool;
 
