Tell callers how long an idle connection stays open, and keep to it

Cause: an idle connection closes after the limit that the configuration sets, of which its caller is not told, and a request that is under way then crosses the close. A limit that a configuration lowers applied to connections whose callers knew the old one.

Change: answers carry Keep-Alive with a time one second below the limit, and a connection stays open a second longer than its caller was told, also when the limit is lowered meanwhile.

Both tests failed before: no header, and 'answer.starts_with("HTTP/1.1 200")' with the connection closed after 50 ms.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -53,6 +53,10 @@
 /// its request at once.
 constexpr milliseconds draining_idle_timeout{500};
 
+/// A connection stays open this much longer than its caller is told, so that a request that is sent just in time does
+/// not cross the close: more than a round trip to distant callers and the delays of a busy host.
+constexpr milliseconds idle_announcement_margin{1'000};
+
 using parser_type = beast::http::request_parser<beast::http::string_body>;
 
 request to_request(parser_type::value_type& parsed)
@@ -131,7 +135,7 @@
         for (const header& line : answer.lines)
             message.insert(line.name, line.value);
         message.body() = std::move(answer.body);
-        message.keep_alive(this->may_keep_alive());
+        this->set_keep_alive(message);
         message.prepare_payload();
         this->is_head_sent = true;
         error_code failure;
@@ -146,7 +150,7 @@
         message.result(head.status);
         for (const header& line : head.lines)
             message.insert(line.name, line.value);
-        message.keep_alive(this->may_keep_alive());
+        this->set_keep_alive(message);
         message.chunked(true);
         this->is_head_sent = true;
         this->is_chunked_open = true;
@@ -182,6 +186,27 @@
 private:
     bool may_keep_alive() const { return this->wants_keep_alive && this->state->is_keep_alive_enabled; }
 
+    /// Tells the caller whether and for how long the connection stays open for its next request.
+    template <typename Message>
+    void set_keep_alive(Message& message)
+    {
+        message.keep_alive(this->may_keep_alive());
+        this->announced_idle_time = std::chrono::floor<std::chrono::seconds>(
+            std::max<milliseconds>(this->state->limits.idle_timeout - idle_announcement_margin, milliseconds{0}));
+        if (this->may_keep_alive() && this->announced_idle_time > std::chrono::seconds{0})
+            message.set(beast::http::field::keep_alive, "timeout=" + std::to_string(this->announced_idle_time.count()));
+    }
+
+    /// Returns how long the connection waits for its next request: as long as the caller was told, even if the limit
+    /// has been lowered since.
+    milliseconds idle_timeout() const
+    {
+        if (this->announced_idle_time == std::chrono::seconds{0})
+            return this->state->limits.idle_timeout;
+        return std::max<milliseconds>(this->state->limits.idle_timeout,
+                                      this->announced_idle_time + idle_announcement_margin);
+    }
+
     bool record_write(const error_code& failure)
     {
         if (failure)
@@ -232,7 +257,7 @@
     {
         constexpr std::size_t first_read_bytes = 4'096;
         error_code failure;
-        const milliseconds idle_timeout = this->state->limits.idle_timeout;
+        const milliseconds idle_timeout = this->idle_timeout();
         this->start_read_timeout(this->state->is_draining ? std::min(idle_timeout, draining_idle_timeout)
                                                           : idle_timeout);
         this->state->idle_closers.emplace(this, [this] {
@@ -371,6 +396,7 @@
     std::shared_ptr<server::shared_state> state;
     std::function<void()> disconnect_hook;
     asio::cancellation_signal watch_cancel;
+    std::chrono::seconds announced_idle_time{0};
     /// Requests handled on this connection.
     int handled_requests = 0;
     bool is_watching = false;
--- a/tests/unit/test_http_server.cpp
+++ b/tests/unit/test_http_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -67,6 +68,24 @@
         return answer;
     }
 
+    /// Sends one request, waits for its answer and `pause`, and returns the answer to a second request on the same
+    /// connection; "" if the server has closed it.
+    std::string answer_after_pause(const std::string& first, std::chrono::milliseconds pause, const std::string& second)
+    {
+        asio::io_context own;
+        asio::ip::tcp::socket socket{own};
+        socket.connect(this->endpoint);
+        boost::system::error_code ignored;
+        asio::write(socket, asio::buffer(first), ignored);
+        std::string first_answer;
+        asio::read_until(socket, asio::dynamic_buffer(first_answer), "\r\n\r\n", ignored);
+        std::this_thread::sleep_for(pause);
+        asio::write(socket, asio::buffer(second), ignored);
+        std::string answer;
+        asio::read(socket, asio::dynamic_buffer(answer), ignored);
+        return answer;
+    }
+
     std::atomic<int> handled_requests{0};
     std::atomic<int> disconnects{0};
 
@@ -81,6 +100,11 @@
         }
         http::response answer = http::text_response(200, incoming.body);
         co_await reply.send(std::move(answer));
+        if (incoming.path() == "/lower-idle-timeout") {
+            http::server_limits limits;
+            limits.idle_timeout = std::chrono::milliseconds{50};
+            this->server->set_limits(limits);
+        }
     }
 
     asio::io_context context{1};
@@ -103,6 +127,8 @@
     CPPUNIT_TEST(chunked_body_over_limit_is_refused_with_413);
     CPPUNIT_TEST(pipelined_requests_are_answered_in_order);
     CPPUNIT_TEST(caller_disconnect_runs_hook_once);
+    CPPUNIT_TEST(answers_tell_how_long_an_idle_connection_stays_open);
+    CPPUNIT_TEST(announced_idle_time_outlasts_a_lower_limit);
     CPPUNIT_TEST_SUITE_END();
 
     void malformed_request_is_refused_with_400_and_not_handled()
@@ -163,6 +189,24 @@
         running.exchange("GET /slow HTTP/1.1\r\n\r\n");
         CPPUNIT_ASSERT_EQUAL(1, running.disconnects.load());
     }
+
+    // Guards against requests that cross the close of an idle connection and get no answer.
+    void answers_tell_how_long_an_idle_connection_stays_open()
+    {
+        test_server running;
+        CPPUNIT_ASSERT(contains(running.exchange("GET / HTTP/1.1\r\n\r\n"), "Keep-Alive: timeout=1\r\n"));
+        CPPUNIT_ASSERT(!contains(running.exchange("GET / HTTP/1.1\r\nConnection: close\r\n\r\n"), "Keep-Alive:"));
+    }
+
+    // Guards against the same after a change of the limit, on connections whose callers know the old one.
+    void announced_idle_time_outlasts_a_lower_limit()
+    {
+        test_server running;
+        const std::string answer =
+            running.answer_after_pause("GET /lower-idle-timeout HTTP/1.1\r\n\r\n", std::chrono::milliseconds{900},
+                                       "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_http_server);
