Log the parts of the prompt of a broken stream

The log could not tell whether the requests that were at engines as they crashed share a part of their prompts, or only a route.

--- a/src/forward/forward_dialect.h
+++ b/src/forward/forward_dialect.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/error.h"
 #include "base/runtime_clock.h"
@@ -24,6 +25,9 @@
     std::int64_t expected_output_tokens = 0;
     /// Id of the last event that the caller has received, when it resumes a stream.
     std::optional<std::int64_t> last_event_id;
+    /// Ids of the prompt's parts that other requests may share, in order; the last part, which belongs to the request
+    /// or its session, is left out.
+    std::vector<std::string> prompt_parts;
     /// Priority of the request's route; 0 is the most urgent.
     int priority = 0;
     http::request original;
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -45,6 +45,14 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(runtime_clock::now() - start).count());
 }
 
+std::string join(const std::vector<std::string>& ids)
+{
+    std::string text;
+    for (const std::string& id : ids)
+        text += (text.empty() ? "" : ",") + id;
+    return text;
+}
+
 asio::awaitable<void> send_release_call(http::client& calls, std::string address, http::request call)
 {
     http::call_options options;
@@ -460,6 +468,7 @@
     log_decision("stream_broken", {{"request", this->active.request.id},
                                    {"endpoint", target.id},
                                    {"events", std::to_string(this->relay.event_count())},
+                                   {"prompt_parts", join(this->active.request.prompt_parts)},
                                    {"cause", describe(reason)}});
     if (!this->active.canceller.is_caller_disconnected())
         this->context.record_call_failure(target.incarnation(), reason.kind);
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(watch_changes_are_decoded);
     CPPUNIT_TEST(malformed_store_responses_are_errors);
     CPPUNIT_TEST(request_headers_are_decoded);
+    CPPUNIT_TEST(prompt_parts_are_bounded_and_leave_out_the_last);
     CPPUNIT_TEST(endpoint_responses_are_classified);
     CPPUNIT_TEST(error_responses_carry_retry_after);
     CPPUNIT_TEST(hop_by_hop_headers_are_not_forwarded);
@@ -125,6 +126,27 @@
         CPPUNIT_ASSERT(dialect.parse_request(request).error().kind == error_kind::bad_request);
     }
 
+    void prompt_parts_are_bounded_and_leave_out_the_last()
+    {
+        const platform::platform_dialect dialect;
+        const auto parts_of = [&dialect](const std::string& header) {
+            http::request request;
+            request.lines = {{"Attempt-Id", "a1"}, {"Prefix-Hash", header}};
+            return dialect.parse_request(request)->prompt_parts;
+        };
+        using ids = std::vector<std::string>;
+        CPPUNIT_ASSERT(parts_of("5c1e07a2:800, 91bd3f06:410,e4402b7d:250") == (ids{"5c1e07a2", "91bd3f06"}));
+        CPPUNIT_ASSERT(parts_of("5c1e07a2:800").empty());
+        CPPUNIT_ASSERT(parts_of("").empty());
+        CPPUNIT_ASSERT(parts_of("a,b:,c:1") == (ids{"a", "b"}));
+        CPPUNIT_ASSERT(parts_of(",,:7,:,").empty());
+        CPPUNIT_ASSERT(parts_of(std::string(10'000, 'f') + ":1,b:2,c:3") == ids{"b"});
+        std::string many;
+        for (int i = 0; i < 1'000; ++i)
+            many += std::to_string(i) + ":1,";
+        CPPUNIT_ASSERT_EQUAL(std::size_t{16}, parts_of(many).size());
+    }
+
     void endpoint_responses_are_classified()
     {
         using forward::answer_kind;
