Refuse prompts with parts on which engines crash

Callers of all routes lost their streams: requests that share one part of their prompts crashed each engine that began an answer to them, and every host went on sending them, each request to another engine.

Cause: nothing remembered what an engine was asked as it crashed. Each loss was put down to the engine, so the next request with the part took the next engine.

crash_suspects keeps the requests that engines had not begun to answer when they crashed, and the parts with which answers begin. A crash is a connection lost before the first event, and an engine that refuses connections or loses its registration after that, so a reset alone does not count. Two crashes at different times without an answer begun put a part in quarantine (three, where answers to it were begun lately). Refused are only requests that have all that the crashed ones share; requests with the caller's other parts go on, and clear them as they begin. Hosts exchange their own crashes and beginnings with the load reports. A beginning ends a quarantine, as does an endpoint that still answers; else it ends after a minute, doubling up to five.

--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -28,6 +28,7 @@
     kind_row{error_kind::no_endpoint, "no_endpoint", 503},
     kind_row{error_kind::host_leaving, "host_leaving", 503},
     kind_row{error_kind::poison_request, "poison_request", 422},
+    kind_row{error_kind::quarantined, "quarantined", 503},
     kind_row{error_kind::claim_unavailable, "claim_unavailable", 503},
     kind_row{error_kind::endpoint_failed, "endpoint_failed", 502},
     kind_row{error_kind::outcome_unknown, "outcome_unknown", 502},
--- /dev/null
+++ b/src/forward/crash_suspects.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/runtime_clock.h"
+
+namespace radishstep::forward {
+
+/// A request whose answer had not started when its endpoint crashed.
+struct crash_record
+{
+    std::string incarnation;
+    /// The parts of the request's prompt that other requests may share.
+    std::vector<std::string> parts;
+    time_point crashed_at;
+    /// The host that sent the request, for the log.
+    std::string seen_by = "this host";
+
+    bool operator==(const crash_record&) const = default;
+};
+
+/// When an answer to a prompt with this part last started.
+struct part_start
+{
+    std::string part;
+    time_point started_at;
+
+    bool operator==(const part_start&) const = default;
+};
+
+/// A combination of prompt parts on which endpoints crash; requests with all of them are refused.
+struct part_quarantine
+{
+    /// The suspected part.
+    std::string part;
+    /// What the requests that crashed endpoints with that part have in common; contains the part.
+    std::vector<std::string> combination;
+    int crashes = 0;
+    time_point until;
+    /// The host that saw the last crash.
+    std::string seen_by;
+
+    bool operator==(const part_quarantine&) const = default;
+};
+
+/// Finds prompt parts that crash each endpoint that starts an answer to them. A part is suspected while endpoints crash
+/// before the first event of requests with it and no answer with it starts anywhere. Hosts exchange their own records.
+/// A request is refused only if it has everything in common with the requests that crashed, so that requests which
+/// share the caller's other parts are served; each answer to one of those clears the parts that it has.
+class crash_suspects
+{
+public:
+    /// Crashes without a started answer after which a part is quarantined.
+    static constexpr int max_crashes = 2;
+    /// The same for a part with which answers have started lately: several endpoints may fail at once for another
+    /// reason.
+    static constexpr int max_crashes_of_started_part = 3;
+    /// Crashes closer together count as one, such as those of a rack that loses power.
+    static constexpr milliseconds min_crash_interval{200};
+    /// How long a lost request waits for evidence that its endpoint crashed, rather than one connection: an endpoint
+    /// that crashes loses its registration after several missed heartbeats.
+    static constexpr milliseconds confirmation_time{10'000};
+    /// How long endpoints need to answer other calls before that refutes a crash.
+    static constexpr milliseconds refutation_time{1'000};
+    /// Length of a quarantine from the last crash. Doubles with each further crash up to the maximum.
+    static constexpr std::chrono::seconds first_quarantine{60};
+    static constexpr std::chrono::seconds max_quarantine{300};
+    /// How long crashes are remembered, so that one more crash after a quarantine renews it.
+    static constexpr std::chrono::seconds record_lifetime{900};
+    /// How long started answers are remembered.
+    static constexpr std::chrono::seconds start_lifetime{60};
+
+    /// Bounds of the memory and of the reports to other hosts.
+    static constexpr std::size_t max_records = 128;
+    static constexpr std::size_t max_known_parts = 8'192;
+    static constexpr std::size_t max_parts_per_record = 16;
+    static constexpr std::size_t max_reported_records = 8;
+    static constexpr std::size_t max_reported_starts = 32;
+
+    /// Called when a quarantine starts or changes.
+    std::function<void(const part_quarantine&)> on_quarantine;
+    /// Called when a quarantine has ended, or its part was cleared.
+    std::function<void(const part_quarantine&)> on_release;
+    /// Called when the other hosts should learn of a record or a start soon.
+    std::function<void()> on_news;
+
+    /// Records that the connection of a request broke before its first event. It counts once the endpoint is known to
+    /// be down.
+    void record_lost_request(const std::string& incarnation, const std::vector<std::string>& parts, time_point now);
+
+    /// Records evidence that an endpoint is down: it refuses connections, or its registration vanished.
+    void record_endpoint_down(const std::string& incarnation, time_point now);
+
+    /// Records that an endpoint sent the first event of an answer.
+    void record_answer_start(const std::string& incarnation, const std::vector<std::string>& parts, time_point now);
+
+    /// Applies records and starts that another host reported.
+    void apply_peer_records(const std::vector<crash_record>& reported, time_point now);
+    void apply_peer_starts(const std::vector<part_start>& reported, time_point now);
+
+    /// Returns until when a request with these parts is refused, or nothing if it may be sent.
+    std::optional<time_point> quarantined_until(const std::vector<std::string>& parts, time_point now) const;
+
+    /// Returns whether a request that was itself lost may be sent again: unconfirmed crashes count, too.
+    bool may_retry(const std::vector<std::string>& parts, time_point now) const;
+
+    /// Returns the newest records of this host that were confirmed at `since` or later.
+    std::vector<crash_record> own_records(time_point since) const;
+
+    /// Returns the starts seen by this host of parts that are in any record, if they became of interest at `since` or
+    /// later.
+    std::vector<part_start> own_starts(time_point since) const;
+
+    /// Drops what is too old; called several times a second.
+    void expire(time_point now);
+
+private:
+    struct stored_record
+    {
+        crash_record record;
+        bool is_own = false;
+        time_point confirmed_at;
+    };
+
+    struct known_start
+    {
+        /// Seen by this host.
+        std::optional<time_point> own_at;
+        /// Seen by any host.
+        time_point last_at;
+        /// When the start became of interest to other hosts.
+        time_point news_at;
+    };
+
+    void store(stored_record added);
+    std::vector<const crash_record*> records_with(const std::string& part, bool with_unconfirmed) const;
+    std::optional<part_quarantine> judge(const std::string& part, bool with_unconfirmed) const;
+    std::optional<time_point> refused_until(const std::vector<std::string>& parts, bool with_unconfirmed,
+                                            time_point now) const;
+    known_start* start_of(const std::string& part);
+    void announce_quarantines(const std::vector<std::string>& parts, time_point now);
+
+    std::vector<stored_record> records;
+    /// Requests whose endpoints are not known to be down.
+    std::vector<crash_record> unconfirmed;
+    std::map<std::string, known_start> starts;
+    /// When endpoints were last seen down, and when they last started an answer, by incarnation.
+    std::map<std::string, time_point> down_at;
+    std::map<std::string, time_point> alive_at;
+    /// Quarantines that were passed to on_quarantine and have not ended, by part.
+    std::map<std::string, part_quarantine> announced;
+};
+
+} // namespace radishstep::forward
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include "forward/crash_suspects.h"
 #include "forward/endpoint_chooser.h"
 #include "forward/endpoint_directory.h"
 #include "forward/endpoint_health.h"
@@ -32,6 +33,8 @@
     endpoint_health health;
     endpoint_chooser chooser;
     retry_budget budget;
+    /// Prompt parts on which engines crash.
+    crash_suspects suspects;
     /// Requests waiting for capacity at an endpoint, by service.
     std::map<std::string, request_queue> request_queues;
     /// Durations of streams, by service.
@@ -53,6 +56,10 @@
     /// Records a call that failed without an answer in the endpoint's health.
     void record_call_failure(const std::string& incarnation, error_kind kind);
 
+    /// Records in the suspects that a request's connection to an engine broke before the first event, unless the engine
+    /// was leaving as planned.
+    void record_lost_request(const endpoint& target, const std::vector<std::string>& prompt_parts);
+
     /// Marks an endpoint as down and schedules an urgent report to the other hosts.
     void mark_down(const std::string& incarnation);
 
--- a/src/forward/forward_server.cpp
+++ b/src/forward/forward_server.cpp
@@ -97,7 +97,7 @@
     const config_ptr config = this->context.config;
     if (!config) {
         const error reason{error_kind::unavailable, "this host has no configuration yet", "ask another host"};
-        co_await this->refuse(parsed->id, reason, caller);
+        co_await this->refuse(parsed->id, reason, caller, unconfigured_retry_delay);
         co_return;
     }
     const route* matched_route = config->find_route(parsed->host, request.path());
@@ -106,6 +106,11 @@
         co_await this->refuse(parsed->id, reason, caller);
         co_return;
     }
+    if (const auto until = this->context.suspects.quarantined_until(parsed->prompt_parts, arrived_at)) {
+        const auto retry_after = std::chrono::ceil<milliseconds>(*until - arrived_at);
+        co_await this->refuse(parsed->id, quarantine_error(), caller, retry_after);
+        co_return;
+    }
     parsed->priority = matched_route->priority;
     const std::string service = choose_service(*matched_route, this->context.draw());
     const auto timeout =
@@ -125,15 +130,13 @@
     record_request_outcome(*parsed, *matched_route, outcome, arrived_at);
 }
 
-asio::awaitable<void> forward_server::refuse(const std::string& request_id, const error& reason, http::reply& caller)
+asio::awaitable<void> forward_server::refuse(const std::string& request_id, const error& reason, http::reply& caller,
+                                             std::optional<milliseconds> retry_after)
 {
     log_decision("refused", {{"request", request_id},
                              {"cause", describe(reason)},
                              {"config", std::to_string(this->context.config ? this->context.config->version : 0)}});
     count("radishstep_forward_refused_total", {{"kind", std::string{to_string(reason.kind)}}});
-    std::optional<milliseconds> retry_after;
-    if (reason.kind == error_kind::unavailable)
-        retry_after = unconfigured_retry_delay;
     http::response response = this->context.dialect.make_refusal(request_id, reason, retry_after);
     co_await caller.send(std::move(response));
 }
--- a/src/forward/forward_server.h
+++ b/src/forward/forward_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 
 #include "forward/forward_context.h"
 #include "forward/plain_forwarder.h"
@@ -34,7 +35,8 @@
 
 private:
     boost::asio::awaitable<void> serve(const http::request& request, http::reply& caller);
-    boost::asio::awaitable<void> refuse(const std::string& request_id, const error& reason, http::reply& caller);
+    boost::asio::awaitable<void> refuse(const std::string& request_id, const error& reason, http::reply& caller,
+                                        std::optional<milliseconds> retry_after = std::nullopt);
 
     forward_context& context;
     http::server server;
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -128,6 +128,17 @@
                 watched->record_peer_revision(found->second, runtime_clock::now());
         }
     };
+    hooks.on_peer_endpoint_down = [this](const std::string& incarnation) {
+        this->context.suspects.record_endpoint_down(incarnation, runtime_clock::now());
+    };
+    hooks.list_crash_records = [this](time_point since) { return this->context.suspects.own_records(since); };
+    hooks.list_part_starts = [this](time_point since) { return this->context.suspects.own_starts(since); };
+    hooks.on_peer_crash_records = [this](const std::vector<crash_record>& records,
+                                         const std::vector<part_start>& starts) {
+        const time_point now = runtime_clock::now();
+        this->context.suspects.apply_peer_starts(starts, now);
+        this->context.suspects.apply_peer_records(records, now);
+    };
     return hooks;
 }
 
@@ -265,6 +276,9 @@
 {
     if (!change.value) {
         log_state("endpoint_removed", {{"key", change.key}, {"revision", std::to_string(change.revision)}});
+        const auto& entries = this->context.directory.entries();
+        if (const auto removed = entries.find(change.key); removed != entries.end() && !removed->second.is_draining)
+            this->context.suspects.record_endpoint_down(removed->second.incarnation(), runtime_clock::now());
         this->context.directory.remove(change.key);
         return;
     }
@@ -384,6 +398,7 @@
             log_state("endpoint_gone",
                       {{"endpoint", dropped.id}, {"cause", "did not register again after the outage"}});
         this->context.health.expire_records(now);
+        this->context.suspects.expire(now);
         for (const auto& watched : this->watches)
             watched->recover_missed_changes(now);
     }
--- a/src/forward/load_report_exchange.cpp
+++ b/src/forward/load_report_exchange.cpp
@@ -183,6 +183,7 @@
         row.age_ms = static_cast<std::int32_t>(to_ms(now - down.observed_at));
         report.down.push_back(std::move(row));
     }
+    this->add_crash_records(report, now);
     return wire::encode(report);
 }
 
@@ -215,6 +216,43 @@
     this->reported_revisions = std::move(revisions);
 }
 
+void load_report_exchange::add_crash_records(wire::LoadReport& report, time_point now)
+{
+    if (!this->hooks.list_crash_records)
+        return;
+    const time_point since = report.is_partial ? this->last_sent_at : time_point{};
+    for (crash_record& record : this->hooks.list_crash_records(since)) {
+        wire::CrashedRequest row;
+        row.endpoint = std::move(record.incarnation);
+        row.parts = std::move(record.parts);
+        row.age_ms = static_cast<std::int32_t>(to_ms(now - record.crashed_at));
+        report.crashed.push_back(std::move(row));
+    }
+    for (part_start& start : this->hooks.list_part_starts(since)) {
+        wire::StartedPart row;
+        row.part = std::move(start.part);
+        row.age_ms = static_cast<std::int32_t>(to_ms(now - start.started_at));
+        report.started.push_back(std::move(row));
+    }
+}
+
+void load_report_exchange::apply_crash_records(const wire::LoadReport& report, time_point now)
+{
+    if (!this->hooks.on_peer_crash_records || (report.crashed.empty() && report.started.empty()))
+        return;
+    std::vector<crash_record> records;
+    for (const wire::CrashedRequest& row : report.crashed) {
+        if (records.size() < crash_suspects::max_reported_records)
+            records.push_back({row.endpoint, row.parts, now - milliseconds{std::max(row.age_ms, 0)}, report.host});
+    }
+    std::vector<part_start> starts;
+    for (const wire::StartedPart& row : report.started) {
+        if (starts.size() < crash_suspects::max_reported_starts)
+            starts.push_back({row.part, now - milliseconds{std::max(row.age_ms, 0)}});
+    }
+    this->hooks.on_peer_crash_records(records, starts);
+}
+
 void load_report_exchange::apply_report(std::string_view bytes, const asio::ip::udp::endpoint& sender)
 {
     const auto report = wire::decode_load_report(bytes);
@@ -243,7 +281,10 @@
         if (this->health.apply_peer_down_report({row.endpoint, now - age}, now))
             log_state("endpoint_down",
                       {{"endpoint", row.endpoint}, {"seen_by", report->host}, {"age_ms", std::to_string(age.count())}});
+        if (this->hooks.on_peer_endpoint_down)
+            this->hooks.on_peer_endpoint_down(row.endpoint);
     }
+    this->apply_crash_records(*report, now);
     revisions_by_prefix revisions;
     for (const wire::SeenChange& row : report->seen)
         revisions[row.prefix] = row.revision;
--- a/src/forward/load_report_exchange.h
+++ b/src/forward/load_report_exchange.h
@@ -11,6 +11,7 @@
 
 #include "base/error.h"
 #include "base/runtime_clock.h"
+#include "forward/crash_suspects.h"
 #include "forward/endpoint_health.h"
 #include "forward/fleet_load.h"
 
@@ -32,6 +33,13 @@
     std::function<revisions_by_prefix()> latest_revisions;
     /// Called with the newest revisions that another host has seen.
     std::function<void(const revisions_by_prefix&)> on_peer_revisions;
+    /// Called when another host has seen an endpoint down. May be empty, as may the next three.
+    std::function<void(const std::string& incarnation)> on_peer_endpoint_down;
+    /// Return this host's crash records and started parts that are of interest since a time.
+    std::function<std::vector<crash_record>(time_point since)> list_crash_records;
+    std::function<std::vector<part_start>(time_point since)> list_part_starts;
+    /// Called with the crash records and started parts that another host has reported.
+    std::function<void(const std::vector<crash_record>&, const std::vector<part_start>&)> on_peer_crash_records;
 };
 
 /// Sends this host's load at each endpoint to all other hosts over UDP and receives theirs. Most reports are
@@ -93,6 +101,8 @@
     std::string encode_report(time_point now);
     void add_loads(wire::LoadReport& report);
     void add_revisions(wire::LoadReport& report);
+    void add_crash_records(wire::LoadReport& report, time_point now);
+    void apply_crash_records(const wire::LoadReport& report, time_point now);
     void apply_report(std::string_view bytes, const boost::asio::ip::udp::endpoint& sender);
     void record_peer(const std::string& name, const boost::asio::ip::udp::endpoint& sender);
 
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -202,6 +202,8 @@
 
 asio::awaitable<model_forwarder::next_step> model_forwarder::serve_with(reservation& reserved)
 {
+    if (this->is_quarantined())
+        co_return next_step::retry;
     if (reserved.engines.prefill) {
         const endpoint prefill_engine = *reserved.engines.prefill;
         if (!this->try_spend_retry_budget(this->delivered_prefill_calls))
@@ -213,7 +215,7 @@
             co_return next_step::retry;
         }
     }
-    if (this->active.canceller.is_caller_disconnected())
+    if (this->active.canceller.is_caller_disconnected() || this->is_quarantined())
         co_return next_step::retry;
     if (!this->confirm_decode_engine(reserved))
         co_return next_step::retry;
@@ -413,6 +415,9 @@
         if (this->relay.is_broken())
             co_return this->handle_failure(target, error{error_kind::protocol, "an event is too long", ""});
         if (!new_events.empty()) {
+            if (!this->last_event_at)
+                this->context.suspects.record_answer_start(target.incarnation(), this->active.request.prompt_parts,
+                                                           runtime_clock::now());
             this->record_event_time();
             last_progress_at = runtime_clock::now();
             const bool is_written = co_await this->active.caller.write(std::move(new_events));
@@ -470,6 +475,8 @@
                                    {"events", std::to_string(this->relay.event_count())},
                                    {"prompt_parts", join(this->active.request.prompt_parts)},
                                    {"cause", describe(reason)}});
+    if (reason.kind == error_kind::connection_lost && !this->relay.last_event_id())
+        this->context.record_lost_request(target, this->active.request.prompt_parts);
     if (!this->active.canceller.is_caller_disconnected())
         this->context.record_call_failure(target.incarnation(), reason.kind);
     return next_step::retry;
@@ -486,10 +493,23 @@
         asio::detached);
 }
 
+/// Returns whether engines have crashed on the request's prompt; a stream whose events have started is past that.
+bool model_forwarder::is_quarantined() const
+{
+    const std::vector<std::string>& parts = this->active.request.prompt_parts;
+    const time_point now = runtime_clock::now();
+    if (this->last_event_at)
+        return false;
+    return this->run_count > 0 ? !this->context.suspects.may_retry(parts, now)
+                               : this->context.suspects.quarantined_until(parts, now).has_value();
+}
+
 std::optional<error> model_forwarder::reason_to_stop() const
 {
     if (this->active.canceller.is_caller_disconnected())
         return error{error_kind::caller_gone, "the caller disconnected", ""};
+    if (this->is_quarantined())
+        return quarantine_error();
     if (this->run_count > 0 && !this->active.matched_route.is_repeatable)
         return error{error_kind::outcome_unknown, "the engine's stream broke and may not be repeated", ""};
     if (this->run_count >= this->active.matched_route.max_endpoints)
--- a/src/forward/model_forwarder.h
+++ b/src/forward/model_forwarder.h
@@ -74,6 +74,7 @@
     void release_prefill();
     bool try_spend_retry_budget(int delivered_calls);
     void record_delivery_or_refund(int& delivered_calls, bool is_delivered);
+    bool is_quarantined() const;
     std::optional<error> reason_to_stop() const;
     boost::asio::awaitable<void> finish(const error& reason);
 
--- a/src/forward/request_rules.cpp
+++ b/src/forward/request_rules.cpp
@@ -26,6 +26,11 @@
 
 } // namespace
 
+error quarantine_error()
+{
+    return {error_kind::quarantined, "engines crashed on a part of this prompt", "change the prompt, or wait"};
+}
+
 error error_for_caller(const error& reason, bool may_have_run)
 {
     if (!may_have_run || !means_not_run(reason.kind))
@@ -37,6 +42,8 @@
 {
     if (may_have_run)
         return std::nullopt;
+    if (reason == error_kind::quarantined)
+        return remaining / remaining_time_divisor;
     const milliseconds delay = reason == error_kind::overloaded ? max_load_peak_duration : default_retry_delay;
     return std::min(delay, remaining / remaining_time_divisor);
 }
--- a/src/forward/request_rules.h
+++ b/src/forward/request_rules.h
@@ -20,6 +20,9 @@
 /// HTTP statuses from this one on count as endpoint failures.
 constexpr unsigned min_failure_status = 500;
 
+/// Returns the error for a request that is not sent because engines crashed on parts of its prompt.
+error quarantine_error();
+
 /// Returns the error to send to the caller. If the request may have run, an error whose HTTP status means that it did
 /// not (408, 429, 503) is replaced by outcome_unknown.
 error error_for_caller(const error& reason, bool may_have_run);
--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -181,6 +181,19 @@
   2: i64 revision
 }
 
+// A request that an endpoint had not begun to answer when it crashed, with the parts of its prompt that others share.
+struct CrashedRequest {
+  1: string endpoint
+  2: list<string> parts
+  3: i32 age_ms
+}
+
+// A part of a prompt that some CrashedRequest has, and when an answer to a prompt with it last started.
+struct StartedPart {
+  1: string part
+  2: i32 age_ms
+}
+
 // What a host's requests do at the endpoints. A partial report has the rows that changed since the host's
 // last report, each in full; a row of zeros ends one.
 struct LoadReport {
@@ -193,4 +206,7 @@
   5: list<DownEndpoint> down
   7: bool is_partial
   8: list<SeenChange> seen
+  // Both observed by the host itself.
+  9: list<CrashedRequest> crashed
+  10: list<StartedPart> started
 }
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -96,6 +96,19 @@
     this->work_time = time;
 }
 
+void standin_engine::set_deadly_part(const std::string& part)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->deadly_part = part;
+}
+
+bool standin_engine::is_deadly(const http::request& request) const
+{
+    const std::scoped_lock lock{this->mutex};
+    return !this->deadly_part.empty() &&
+           http::find_header(request.lines, "Prefix-Hash").find(this->deadly_part) != std::string_view::npos;
+}
+
 std::vector<engine_call> standin_engine::calls() const
 {
     const std::scoped_lock lock{this->mutex};
@@ -278,7 +291,7 @@
         co_return co_await caller.write(http_answer(status_unavailable, lines, ""));
     }
     this->mark_run(call);
-    if (this->current_fault() == engine_fault::reset_after_run) {
+    if (this->current_fault() == engine_fault::reset_after_run || this->is_deadly(received.request)) {
         caller.reset();
         co_return false;
     }
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -79,6 +79,9 @@
     void set_fault(engine_fault fault);
     void set_work_time(milliseconds time);
 
+    /// Makes streams on prompts with this part break before their first event, as if the engine crashed.
+    void set_deadly_part(const std::string& part);
+
     /// Returns all calls received so far.
     std::vector<engine_call> calls() const;
 
@@ -106,6 +109,7 @@
     void mark_run(std::size_t call);
     void mark_caller_disconnected(std::size_t call);
     engine_fault current_fault() const;
+    bool is_deadly(const http::request& request) const;
 
     std::string id;
     std::string service;
@@ -114,6 +118,7 @@
     mutable std::mutex mutex;
     engine_fault fault = engine_fault::none;
     milliseconds work_time{5};
+    std::string deadly_part;
     std::vector<engine_call> all_calls;
     std::atomic<int> active_calls = 0;
     raw_server server;
