--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -50,6 +50,14 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(runtime_clock::now() - start).count());
 }
 
+std::string join(const std::vector<std::string>& ids)
+{
+    std::string text;
+    for (const std::string& id : ids)
+        text += (text.empty() ? "" : ",") + id;
+    return text;
+}
+
 asio::awaitable<void> send_release_call(http::client& calls, std::string address, http::request call)
 {
     http::call_options options;
@@ -209,6 +217,8 @@
 
 asio::awaitable<model_forwarder::next_step> model_forwarder::serve_with(reservation& reserved)
 {
+    if (this->is_quarantined())
+        co_return next_step::retry;
     if (reserved.engines.prefill) {
         const endpoint prefill_engine = *reserved.engines.prefill;
         if (!this->try_spend_retry_budget(this->delivered_prefill_calls))
@@ -220,7 +230,7 @@
             co_return next_step::retry;
         }
     }
-    if (this->active.canceller.is_caller_disconnected() || this->has_silent_engine_resumed())
+    if (this->active.canceller.is_caller_disconnected() || this->has_silent_engine_resumed() || this->is_quarantined())
         co_return next_step::retry;
     if (!this->confirm_decode_engine(reserved))
         co_return next_step::retry;
@@ -470,6 +480,9 @@
         if (this->relay.is_broken())
             co_return this->handle_failure(*call, error{error_kind::protocol, "an event is too long", ""});
         if (!new_events.empty()) {
+            if (!this->last_event_at)
+                this->context.suspects.record_answer_start(call->target.incarnation(),
+                                                           this->active.request.prompt_parts, runtime_clock::now());
             this->record_event_time();
             last_progress_at = runtime_clock::now();
             const bool is_written = co_await this->active.caller.write(std::move(new_events));
@@ -530,7 +543,10 @@
                                    {"endpoint", call.target.id},
                                    {"events", std::to_string(this->relay.event_count())},
                                    {"left_ms", std::to_string(this->active.canceller.time_left().count())},
+                                   {"prompt_parts", join(this->active.request.prompt_parts)},
                                    {"cause", describe(reason)}});
+    if (reason.kind == error_kind::connection_lost && !this->relay.last_event_id())
+        this->context.record_lost_request(call.target, this->active.request.prompt_parts);
     if (!this->active.canceller.is_caller_disconnected())
         this->context.record_call_failure(call.target.incarnation(), reason.kind);
     return next_step::retry;
@@ -598,10 +614,23 @@
         asio::detached);
 }
 
+/// Returns whether engines have crashed on the request's prompt; a stream whose events have started is past that.
+bool model_forwarder::is_quarantined() const
+{
+    const std::vector<std::string>& parts = this->active.request.prompt_parts;
+    const time_point now = runtime_clock::now();
+    if (this->last_event_at)
+        return false;
+    return this->run_count > 0 ? !this->context.suspects.may_retry(parts, now)
+                               : this->context.suspects.quarantined_until(parts, now).has_value();
+}
+
 std::optional<error> model_forwarder::reason_to_stop() const
 {
     if (this->active.canceller.is_caller_disconnected())
         return error{error_kind::caller_gone, "the caller disconnected", ""};
+    if (this->is_quarantined())
+        return quarantine_error();
     if (this->run_count > 0 && !this->active.matched_route.is_repeatable)
         return error{error_kind::outcome_unknown, "the engine's stream broke and may not be repeated", ""};
     if (this->run_count >= this->active.matched_route.max_endpoints)
