Compare only the slots that a selection can reach

What callers would see: one entry with a huge number of slots ended the gateway at the first plain request, and again at each start. Cause: a selection made a row for each free slot of each endpoint. Change: a selection takes the slot after the reserved ones, so that no more than reserved_slots + 1 slots of one endpoint can come before it or be it. Further ones are left out, for plain endpoints and for decode engines. The choice is the same: the slots that are left out have higher scores than all that are kept of their endpoint. Tests: selection_work_does_not_grow_with_the_slots failed before (std::bad_alloc); free_slots_are_reserved_in_the_order_of_their_scores passed before and after and holds the order.

--- a/src/forward/endpoint_chooser.cpp
+++ b/src/forward/endpoint_chooser.cpp
@@ -38,6 +38,13 @@
 /// of the others.
 constexpr double delay_ms_per_stream = 10;
 
+/// Returns how many of an endpoint's free slots a selection has to compare, from its lowest score on: one more than the
+/// reserved slots of all endpoints, so that the work of a selection does not grow with the slots.
+std::size_t count_considered_slots(std::int64_t free_slots, std::size_t reserved_slots)
+{
+    return std::min(static_cast<std::size_t>(std::max<std::int64_t>(free_slots, 0)), reserved_slots + 1);
+}
+
 /// Returns a pseudo-random value in [0, 1) that differs for each endpoint index and draw.
 double jitter(double draw, std::size_t index)
 {
@@ -77,8 +84,10 @@
         score += this->health.is_avoided(incarnation, now) ? avoided_penalty_calls : 0;
         const std::int64_t max_queued =
             selection.are_peer_loads_current ? max_queued_calls : max_queued_calls_with_stale_loads;
-        // Each further slot costs one more call.
-        for (std::int64_t slot = calls; slot < candidate->slots + max_queued; ++slot)
+        // Each further slot costs one more call. One candidate's slots beyond the reserved ones cannot be chosen.
+        const std::int64_t free_slots = candidate->slots + max_queued - calls;
+        const std::size_t considered_slots = count_considered_slots(free_slots, selection.reserved_slots);
+        for (std::size_t slot = 0; slot < considered_slots; ++slot)
             slots_by_score.emplace_back(score++, candidate);
     }
     if (slots_by_score.size() <= selection.reserved_slots)
@@ -121,7 +130,9 @@
             if (ms < best.expected_ms)
                 best = {ms, prefill_engine, decode_engine};
         }
-        for (std::size_t slot = 0; slot < capacity; ++slot)
+        const std::size_t considered_slots =
+            count_considered_slots(static_cast<std::int64_t>(capacity), selection.reserved_slots);
+        for (std::size_t slot = 0; slot < considered_slots; ++slot)
             options.push_back({best.expected_ms + delay_ms_per_stream * static_cast<double>(slot), best.prefill_engine,
                                decode_engine});
     }
--- a/tests/forward/test_choices.cpp
+++ b/tests/forward/test_choices.cpp
@@ -1,5 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <limits>
+
 #include "forward/endpoint_chooser.h"
 #include "forward/phase_balance.h"
 
@@ -43,6 +46,8 @@
     CPPUNIT_TEST(surplus_prefill_engines_are_taken_from_the_largest_zone);
     CPPUNIT_TEST(endpoint_with_repeated_rejections_is_avoided_longer);
     CPPUNIT_TEST(plain_calls_leave_slots_to_longer_waiting_calls);
+    CPPUNIT_TEST(free_slots_are_reserved_in_the_order_of_their_scores);
+    CPPUNIT_TEST(selection_work_does_not_grow_with_the_slots);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -256,6 +261,37 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"none"}, this->select_plain(2));
     }
 
+    void free_slots_are_reserved_in_the_order_of_their_scores()
+    {
+        this->add(make_endpoint("p0", "app", endpoint_phase::none, 6));
+        this->add(make_endpoint("p1", "app", endpoint_phase::none, 6));
+        this->load.add_work("p1@0", {.calls = 3});
+        std::string chosen;
+        for (std::size_t reserved = 0; reserved < 12; ++reserved)
+            chosen += this->select_plain(reserved).back();
+        // Both have a slot more than they run at once, and from the fourth on their slots alternate.
+        CPPUNIT_ASSERT_EQUAL(std::string{"000"}, chosen.substr(0, 3));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{7}, std::ranges::count(chosen, '0'));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{4}, std::ranges::count(chosen, '1'));
+        CPPUNIT_ASSERT_EQUAL('e', chosen.back());
+    }
+
+    // Guards against memory in proportion to the slots: the process was killed at the first request.
+    void selection_work_does_not_grow_with_the_slots()
+    {
+        constexpr int huge = std::numeric_limits<int>::max();
+        this->add(make_endpoint("p0", "app", endpoint_phase::none, huge));
+        this->add(make_endpoint("p1", "app", endpoint_phase::none, huge));
+        this->load.add_work("p0@0", {.calls = 2});
+        CPPUNIT_ASSERT_EQUAL(std::string{"p1"}, this->select_plain());
+        CPPUNIT_ASSERT(this->select_plain(100) != "none");
+        this->add(make_endpoint("d0", "llm", endpoint_phase::decode, huge));
+        model_demand required = demand(0);
+        required.kv_capacity_tokens = std::numeric_limits<std::int64_t>::max() / 2;
+        const auto found = this->chooser.choose_engines(required, this->make_selection(100), this->now);
+        CPPUNIT_ASSERT(found && found->decode.id == "d0");
+    }
+
     // Load pattern: prefill engines are idle at load peaks while decode engines are full.
     void surplus_prefill_engines_are_taken_from_the_largest_zone()
     {
