Check the numbers of endpoints' entries

What callers would see: an entry of another writer with slots got requests, and the gateway answered 502 with 6 GB of address space; without a limit it would take 16 bytes a slot. Slots of 0, -5, true, 6.5 and 1e300 were taken as they came, the last with an undefined conversion, and so were start times below zero or beyond int64, which name the incarnation in load reports. Cause: the fields were converted without a check of type and range. Whole numbers written as 6.0 stay usable; booleans and fractions do not.

--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <nlohmann/json.hpp>
+
 #include "platform/host_settings.h"
 #include "platform/platform_dialect.h"
 #include "platform/store_client.h"
@@ -20,6 +22,23 @@
   "services":[{"name":"llm","engine":{"slots":128,"kv_capacity":38411,"stride":13,"handle_ttl_s":0.5}},{"name":"old"}],
   "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
+/// Returns the document with one field replaced by `value`; `path` is a JSON pointer.
+std::string with_field(const std::string& document, const std::string& path, const nlohmann::json& value)
+{
+    nlohmann::json changed = nlohmann::json::parse(document);
+    changed[nlohmann::json::json_pointer{path}] = value;
+    return changed.dump();
+}
+
+constexpr const char* entry_text =
+    R"({"service":"llm","address":"10.0.0.1:80","zone":"a","slots":128,"state":"ready","born":17})";
+
+std::string error_of_entry(const std::string& document, const std::string& key = "servers/i-1")
+{
+    const auto entry = platform::decode_endpoint(key, document);
+    return entry ? "" : entry.error().message;
+}
+
 /// Decoding of the platform's documents and headers into the gateway's types.
 class test_decoders : public CppUnit::TestFixture
 {
@@ -28,6 +47,8 @@
     CPPUNIT_TEST(unusable_configuration_error_names_the_field);
     CPPUNIT_TEST(endpoint_entries_are_decoded);
     CPPUNIT_TEST(malformed_endpoint_entries_are_rejected);
+    CPPUNIT_TEST(slots_out_of_range_are_rejected);
+    CPPUNIT_TEST(start_times_out_of_range_are_rejected);
     CPPUNIT_TEST(settings_error_names_the_missing_field);
     CPPUNIT_TEST(watch_changes_are_decoded);
     CPPUNIT_TEST(malformed_store_responses_are_errors);
@@ -83,6 +104,28 @@
             CPPUNIT_ASSERT_MESSAGE(text, !platform::decode_endpoint("servers/i-1", text));
     }
 
+    // Guards against an entry that claims more slots than the process has memory to compare.
+    void slots_out_of_range_are_rejected()
+    {
+        CPPUNIT_ASSERT(error_of_entry(with_field(entry_text, "/slots", 2'000'000'000))
+                           .find("slots 2000000000 is out of range 1..65535") != std::string::npos);
+        for (const nlohmann::json& slots :
+             std::vector<nlohmann::json>{0, -5, 65'536, 4'294'967'297, 18'446'744'073'709'551'615ULL, 1e300, 6.5, true})
+            CPPUNIT_ASSERT_MESSAGE(slots.dump(), !error_of_entry(with_field(entry_text, "/slots", slots)).empty());
+        for (const nlohmann::json& slots : std::vector<nlohmann::json>{1, 65'535, 6.0})
+            CPPUNIT_ASSERT_EQUAL(std::string{}, error_of_entry(with_field(entry_text, "/slots", slots)));
+        CPPUNIT_ASSERT(!error_of_entry(R"({"slots":1e999})").empty());
+    }
+
+    // Guards against start times whose conversion is undefined, so that two hosts name one incarnation differently.
+    void start_times_out_of_range_are_rejected()
+    {
+        for (const nlohmann::json& born :
+             std::vector<nlohmann::json>{-1, 1.5, 1e300, 18'446'744'073'709'551'615ULL, nullptr, true})
+            CPPUNIT_ASSERT_MESSAGE(born.dump(), !error_of_entry(with_field(entry_text, "/born", born)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::string{}, error_of_entry(with_field(entry_text, "/born", 1'700'000'000'000)));
+    }
+
     void settings_error_names_the_missing_field()
     {
         const auto settings = platform::decode_host_settings(R"({"node_name":"n"})");
