Count a call to an address that cannot be parsed as not sent

What callers saw: a request that may run only once ended with 502 ("may have run") when its endpoint's address could not be parsed, and the send counted against the attempts and the retry budget. Cause: may_have_arrived() did not know bad_setting, though the client documents that no byte is sent after it. Test: call_to_an_address_that_is_none_was_not_sent, failed before.

--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -81,7 +81,8 @@
 
 bool may_have_arrived(error_kind kind)
 {
-    return kind != error_kind::not_sent && kind != error_kind::connection_refused;
+    // A call fails with bad_setting if its address cannot be parsed.
+    return kind != error_kind::not_sent && kind != error_kind::connection_refused && kind != error_kind::bad_setting;
 }
 
 } // namespace radishstep
--- a/tests/unit/test_base.cpp
+++ b/tests/unit/test_base.cpp
@@ -2,7 +2,9 @@
 
 #include <atomic>
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
 
 #include "base/bounded_ring.h"
 #include "base/event_log.h"
@@ -12,6 +14,7 @@
 #include "base/settings.h"
 #include "base/supervisor.h"
 #include "base/text.h"
+#include "http/client.h"
 
 namespace {
 
@@ -37,6 +40,7 @@
     CPPUNIT_TEST(supervisor_gives_up_past_its_limit);
     CPPUNIT_TEST(flags_take_precedence_over_environment);
     CPPUNIT_TEST(invalid_settings_give_errors_with_remedy);
+    CPPUNIT_TEST(call_to_an_address_that_is_none_was_not_sent);
     CPPUNIT_TEST_SUITE_END();
 
     void paused_clock_moves_only_when_advanced()
@@ -210,6 +214,23 @@
         const char* const unknown[] = {"program", "--what"};
         CPPUNIT_ASSERT(!settings_reader::parse("Usage: program [--count=N]", 2, unknown));
     }
+
+    // Guards against requests that may run only once and end as "may have run" after an address that cannot be parsed.
+    void call_to_an_address_that_is_none_was_not_sent()
+    {
+        boost::asio::io_context io;
+        http::client client{io.get_executor()};
+        for (const char* address : {"127.0.0.1:70000", "127.0.0.1", "host:80"}) {
+            auto ended =
+                boost::asio::co_spawn(io, client.call(address, http::get_request("/"), {}), boost::asio::use_future);
+            io.restart();
+            io.run();
+            const auto answer = ended.get();
+            CPPUNIT_ASSERT(!answer && !may_have_arrived(answer.error().kind));
+        }
+        CPPUNIT_ASSERT(may_have_arrived(error_kind::connection_lost));
+        CPPUNIT_ASSERT(may_have_arrived(error_kind::timed_out));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_base);
