Check the addresses of endpoints' entries

What callers saw: with five entries of another writer whose address has no port, a port out of range, port 0 or a name, requests that may run only once ended with 502: the endpoint seemed idle, was chosen, and each send to it was lost. An address longer than any real one is not repeated in the error.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -461,7 +461,12 @@
 {
     const std::size_t colon = address.rfind(':');
     constexpr std::int64_t max_port = 65'535;
+    // The longest IPv6 address with a zone and a port is shorter.
+    constexpr std::size_t max_address_bytes = 80;
     const std::string remedy = "write it as IP:port, for example 127.0.0.1:8080";
+    if (address.size() > max_address_bytes)
+        return fail(error_kind::bad_setting, "an address of " + std::to_string(address.size()) + " bytes is too long",
+                    remedy);
     if (colon == std::string::npos)
         return fail(error_kind::bad_setting, "address '" + address + "' has no port", remedy);
     error_code failure;
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(malformed_endpoint_entries_are_rejected);
     CPPUNIT_TEST(slots_out_of_range_are_rejected);
     CPPUNIT_TEST(start_times_out_of_range_are_rejected);
+    CPPUNIT_TEST(addresses_that_name_no_endpoint_are_rejected);
     CPPUNIT_TEST(settings_error_names_the_missing_field);
     CPPUNIT_TEST(watch_changes_are_decoded);
     CPPUNIT_TEST(malformed_store_responses_are_errors);
@@ -126,6 +127,16 @@
         CPPUNIT_ASSERT_EQUAL(std::string{}, error_of_entry(with_field(entry_text, "/born", 1'700'000'000'000)));
     }
 
+    // Guards against endpoints that no call can reach but that seem idle.
+    void addresses_that_name_no_endpoint_are_rejected()
+    {
+        for (const char* address : {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1",
+                                    "10.0.0.1:99999999999999999999", "host:80", "10.0.0.1:80 ", "0.0.0.0:80",
+                                    "224.0.0.1:80", "10.0.0.1:80\r\nInjected: 1"})
+            CPPUNIT_ASSERT_MESSAGE(address, !error_of_entry(with_field(entry_text, "/address", address)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::string{}, error_of_entry(with_field(entry_text, "/address", "10.0.0.1:65535")));
+    }
+
     void settings_error_names_the_missing_field()
     {
         const auto settings = platform::decode_host_settings(R"({"node_name":"n"})");
--- a/tests/platform/test_odd_entries.cpp
+++ b/tests/platform/test_odd_entries.cpp
@@ -18,6 +18,8 @@
 {
     CPPUNIT_TEST_SUITE(test_odd_entries);
     CPPUNIT_TEST(entry_with_a_huge_number_of_slots_gets_no_requests);
+    CPPUNIT_TEST(entry_with_a_malformed_address_costs_no_request);
+    CPPUNIT_TEST(changes_after_odd_entries_are_followed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -67,6 +69,51 @@
         CPPUNIT_ASSERT(this->site->log().find("slots 2000000000 is out of range") != std::string::npos);
     }
 
+    // Guards against calls to an address that cannot be one; they would count as sent and end requests that may run
+    // only once.
+    void entry_with_a_malformed_address_costs_no_request()
+    {
+        int number = 0;
+        for (const char* address : {"127.0.0.1:70000", "127.0.0.1", "127.0.0.1:0", "localhost:80", "::"})
+            this->put_odd_entry(this->entry_with("address", address), odd_key + std::to_string(number++));
+        this->start();
+        this->check_requests(20);
+    }
+
+    // Guards against a list that stops being followed, or a process that ends, after an entry that cannot be used.
+    void changes_after_odd_entries_are_followed()
+    {
+        const std::vector<std::string> entries{
+            "",
+            "\xff\xfe",
+            R"({"slots":1e999})",
+            this->entry_with("slots", 1e300),
+            this->entry_with("slots", -5),
+            this->entry_with("slots", true),
+            this->entry_with("born", 1e300),
+            this->entry_with("born", 18'446'744'073'709'551'615ULL),
+            this->entry_with("state", std::string(100'000, 'x')),
+            this->entry_with("zone", json::array()),
+            this->entry_with("address", "127.0.0.1:99999999999999999999"),
+        };
+        for (std::size_t i = 0; i < entries.size(); ++i)
+            this->put_odd_entry(entries[i], "servers/first-" + std::to_string(i));
+        this->start();
+        for (std::size_t i = 0; i < entries.size(); ++i)
+            this->put_odd_entry(entries[i], "servers/later-" + std::to_string(i));
+        standin_engine& draining = this->site->engine("p0");
+        this->site->store->put(draining.key(), draining.entry("draining"));
+        std::this_thread::sleep_for(1s);
+        const std::size_t before = draining.calls().size();
+        this->check_requests(10);
+        CPPUNIT_ASSERT_EQUAL(before, draining.calls().size());
+        this->site->store->remove(this->site->engine("p1").key());
+        CPPUNIT_ASSERT(wait_until([this] { return this->status_of("/plain/1") == 503U; }, 2s));
+        this->site->store->put(draining.key(), draining.entry());
+        CPPUNIT_ASSERT(wait_until([this] { return this->status_of("/plain/1") == 200U; }, 2s));
+        CPPUNIT_ASSERT(this->site->gateway()->is_running());
+    }
+
 private:
     std::unique_ptr<platform_site> site;
 };
