--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(slots_out_of_range_are_rejected);
     CPPUNIT_TEST(start_times_out_of_range_are_rejected);
     CPPUNIT_TEST(addresses_that_name_no_endpoint_are_rejected);
+    CPPUNIT_TEST(keys_without_an_id_fit_for_a_header_are_rejected);
     CPPUNIT_TEST(settings_error_names_the_missing_field);
     CPPUNIT_TEST(watch_changes_are_decoded);
     CPPUNIT_TEST(malformed_store_responses_are_errors);
@@ -137,6 +138,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string{}, error_of_entry(with_field(entry_text, "/address", "10.0.0.1:65535")));
     }
 
+    // Guards against ids that change the calls in whose header they are sent, or make load reports too long.
+    void keys_without_an_id_fit_for_a_header_are_rejected()
+    {
+        for (const std::string& key :
+             {std::string{"servers/"}, std::string{"ser"}, std::string{"others/i-1"}, std::string{"servers/i 1"},
+              std::string{"servers/i-1\r\nInjected: 1"}, std::string{"servers/i-1\x7f"},
+              std::string{"servers/i-1/part"}, "servers/" + std::string(70'000, 'i')})
+            CPPUNIT_ASSERT_MESSAGE(key, !error_of_entry(entry_text, key).empty());
+        CPPUNIT_ASSERT(!error_of_entry(with_field(entry_text, "/zone", std::string(70'000, 'z'))).empty());
+        CPPUNIT_ASSERT_EQUAL(std::string{}, error_of_entry(entry_text, "servers/i-7f3a91c2"));
+    }
+
     void settings_error_names_the_missing_field()
     {
         const auto settings = platform::decode_host_settings(R"({"node_name":"n"})");
--- a/tests/platform/test_odd_entries.cpp
+++ b/tests/platform/test_odd_entries.cpp
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "platform_site.h"
@@ -19,6 +21,7 @@
     CPPUNIT_TEST_SUITE(test_odd_entries);
     CPPUNIT_TEST(entry_with_a_huge_number_of_slots_gets_no_requests);
     CPPUNIT_TEST(entry_with_a_malformed_address_costs_no_request);
+    CPPUNIT_TEST(line_break_in_an_id_adds_no_header_to_calls);
     CPPUNIT_TEST(changes_after_odd_entries_are_followed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -80,6 +83,19 @@
         this->check_requests(20);
     }
 
+    // Guards against header injection by the key of an entry.
+    void line_break_in_an_id_adds_no_header_to_calls()
+    {
+        standin_engine& engine = this->site->engine("p0");
+        this->put_odd_entry(engine.entry(), "servers/p0\r\nInjected: 1");
+        this->start();
+        this->check_requests(20);
+        const auto is_injected = [](const engine_call& call) {
+            return !http::find_header(call.request.lines, "Injected").empty();
+        };
+        CPPUNIT_ASSERT(std::ranges::none_of(engine.calls(), is_injected));
+    }
+
     // Guards against a list that stops being followed, or a process that ends, after an entry that cannot be used.
     void changes_after_odd_entries_are_followed()
     {
