--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "platform/host_settings.h"
@@ -51,6 +53,8 @@
     CPPUNIT_TEST(start_times_out_of_range_are_rejected);
     CPPUNIT_TEST(addresses_that_name_no_endpoint_are_rejected);
     CPPUNIT_TEST(keys_without_an_id_fit_for_a_header_are_rejected);
+    CPPUNIT_TEST(deeply_nested_documents_are_rejected);
+    CPPUNIT_TEST(error_of_an_entry_is_short_and_printable);
     CPPUNIT_TEST(settings_error_names_the_missing_field);
     CPPUNIT_TEST(watch_changes_are_decoded);
     CPPUNIT_TEST(malformed_store_responses_are_errors);
@@ -150,6 +154,38 @@
         CPPUNIT_ASSERT_EQUAL(std::string{}, error_of_entry(entry_text, "servers/i-7f3a91c2"));
     }
 
+    // Guards against documents that take memory or stack for each level.
+    void deeply_nested_documents_are_rejected()
+    {
+        constexpr std::size_t levels = 1'000'000;
+        const std::string nested = std::string(levels, '[') + std::string(levels, ']');
+        const std::string objects = R"({"a":)" + nested + "}";
+        for (const std::string& text : {std::string(levels, '['), nested, objects}) {
+            CPPUNIT_ASSERT(error_of_entry(text).find("nested deeper than 32 levels") != std::string::npos);
+            CPPUNIT_ASSERT(!platform::decode_config(text));
+            CPPUNIT_ASSERT(!platform::decode_host_settings(text));
+            CPPUNIT_ASSERT(!platform::decode_watch(text));
+            CPPUNIT_ASSERT(!platform::decode_range_page(text));
+        }
+        const std::string config = with_field(config_text, "/routes/1/backends", "NESTED");
+        const std::size_t at = config.find(R"("NESTED")");
+        CPPUNIT_ASSERT(!platform::decode_config(config.substr(0, at) + nested + config.substr(at + 8)));
+        CPPUNIT_ASSERT_EQUAL(std::string{},
+                             error_of_entry(with_field(entry_text, "/other", {{"a", {{"b", {1, {2}}}}}})));
+    }
+
+    // Guards against log lines as long as the entry, and control characters in them.
+    void error_of_an_entry_is_short_and_printable()
+    {
+        const std::string message =
+            error_of_entry(with_field(entry_text, "/state", std::string(100'000, '\n')), "servers/i\x1b[2J");
+        constexpr std::size_t max_message_bytes = 600;
+        CPPUNIT_ASSERT(!message.empty() && message.size() < max_message_bytes);
+        CPPUNIT_ASSERT(std::ranges::all_of(message, [](char letter) { return letter >= ' ' && letter <= '~'; }));
+        CPPUNIT_ASSERT(error_of_entry(with_field(entry_text, "/address", std::string(100'000, '1'))).size() <
+                       max_message_bytes);
+    }
+
     void settings_error_names_the_missing_field()
     {
         const auto settings = platform::decode_host_settings(R"({"node_name":"n"})");
--- a/tests/platform/test_odd_entries.cpp
+++ b/tests/platform/test_odd_entries.cpp
@@ -19,6 +19,7 @@
 class test_odd_entries : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(test_odd_entries);
+    CPPUNIT_TEST(deeply_nested_entry_neither_ends_the_process_nor_grows_its_memory);
     CPPUNIT_TEST(entry_with_a_huge_number_of_slots_gets_no_requests);
     CPPUNIT_TEST(entry_with_a_malformed_address_costs_no_request);
     CPPUNIT_TEST(line_break_in_an_id_adds_no_header_to_calls);
@@ -62,6 +63,21 @@
             CPPUNIT_ASSERT_EQUAL(200U, this->status_of(i % 2 == 0 ? "/once/1" : "/plain/1"));
     }
 
+    // Guards against a parser that recurses, or builds the whole document, for each level of an entry.
+    void deeply_nested_entry_neither_ends_the_process_nor_grows_its_memory()
+    {
+        constexpr std::size_t levels = 250'000;
+        constexpr long max_growth_mb = 12;
+        this->start();
+        const long before_mb = this->site->gateway()->peak_memory_mb();
+        this->put_odd_entry(std::string(levels, '['));
+        this->put_odd_entry(std::string(levels, '[') + std::string(levels, ']'), "servers/odder");
+        std::this_thread::sleep_for(1s);
+        CPPUNIT_ASSERT(this->site->gateway()->is_running());
+        this->check_requests(4);
+        CPPUNIT_ASSERT_LESS(before_mb + max_growth_mb, this->site->gateway()->peak_memory_mb());
+    }
+
     // Guards against work and memory in proportion to the slots that an entry claims.
     void entry_with_a_huge_number_of_slots_gets_no_requests()
     {
