Check the numbers of the configuration and the settings

What operators would see: negative times, sizes and weights wrapped around (a weight of -1 as, whose sum overflows), numbers out of range were converted without a check, and a peer port of 70000 became 4464.

--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -55,7 +55,9 @@
     CPPUNIT_TEST(keys_without_an_id_fit_for_a_header_are_rejected);
     CPPUNIT_TEST(deeply_nested_documents_are_rejected);
     CPPUNIT_TEST(error_of_an_entry_is_short_and_printable);
+    CPPUNIT_TEST(configuration_numbers_out_of_range_are_rejected);
     CPPUNIT_TEST(settings_error_names_the_missing_field);
+    CPPUNIT_TEST(settings_numbers_out_of_range_are_rejected);
     CPPUNIT_TEST(watch_changes_are_decoded);
     CPPUNIT_TEST(malformed_store_responses_are_errors);
     CPPUNIT_TEST(unreadable_items_leave_the_others_usable);
@@ -187,6 +189,41 @@
                        max_message_bytes);
     }
 
+    // Guards against numbers that wrap around or overflow where they are used.
+    void configuration_numbers_out_of_range_are_rejected()
+    {
+        for (const char* path :
+             {"/version", "/routes/0/timeout_ms", "/routes/0/target_latency_ms", "/routes/0/target_gap_ms",
+              "/routes/0/max_attempts", "/routes/1/backends/0/weight", "/services/0/engine/kv_capacity",
+              "/services/0/engine/stride", "/services/0/engine/handle_ttl_s", "/limits/max_header_bytes",
+              "/limits/max_body_bytes", "/limits/header_timeout_ms", "/limits/idle_timeout_ms"}) {
+            for (const nlohmann::json& number :
+                 std::vector<nlohmann::json>{-1, 1e300, 18'446'744'073'709'551'615ULL, "7"}) {
+                const auto config = platform::decode_config(with_field(config_text, path, number));
+                CPPUNIT_ASSERT_MESSAGE(path + (" " + number.dump()), !config);
+                const std::string field = std::string{path}.substr(std::string{path}.rfind('/') + 1);
+                CPPUNIT_ASSERT_MESSAGE(config.error().message, config.error().message.find(field) != std::string::npos);
+            }
+        }
+    }
+
+    // Guards against a port or time that is cut to fit, so that the process starts with another one.
+    void settings_numbers_out_of_range_are_rejected()
+    {
+        constexpr const char* settings_text =
+            R"({"node_name":"n","zone":"z","ip":"10.0.0.1","listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},
+                "internal_ports":[7380,7395],"platform":{"address":"10.0.0.9:1","ttl_min_ms":1000},
+                "bounds":{"retry_budget_ratio":0.2,"budget_window_s":10,"retry_budget_slack":5,"grace_s":8}})";
+        CPPUNIT_ASSERT(platform::decode_host_settings(settings_text));
+        for (const char* path : {"/internal_ports/0", "/platform/ttl_min_ms", "/bounds/budget_window_s",
+                                 "/bounds/grace_s", "/bounds/drain_ms", "/bounds/lease_ms"}) {
+            for (const nlohmann::json& number : std::vector<nlohmann::json>{-1, 1e300, 18'446'744'073'709'551'615ULL})
+                CPPUNIT_ASSERT_MESSAGE(path + (" " + number.dump()),
+                                       !platform::decode_host_settings(with_field(settings_text, path, number)));
+        }
+        CPPUNIT_ASSERT(!platform::decode_host_settings(with_field(settings_text, "/internal_ports/0", 70'000)));
+    }
+
     void settings_error_names_the_missing_field()
     {
         const auto settings = platform::decode_host_settings(R"({"node_name":"n"})");
