Leave out registered hosts that cannot be sent reports

What operators would see: a registration with port 0, an IPv6 address or 0.0.0.0 counted as a host, took a share of the retry budget and got datagrams that never arrive; one that cannot be parsed was logged again at each change of any host. Change: such a host is no peer, and is logged once as peer_unusable while it is registered. Test: host_that_cannot_be_sent_reports_is_no_peer, failed before (5 hosts in place of 2).

--- a/src/forward/load_report_exchange.cpp
+++ b/src/forward/load_report_exchange.cpp
@@ -1,6 +1,7 @@
 #include "forward/load_report_exchange.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -23,6 +24,18 @@
 /// A longer datagram is truncated and then counted as unusable.
 constexpr std::size_t receive_buffer_bytes = 60UL * 1024;
 
+/// Returns the address of a host that can be sent reports: the socket is an IPv4 one.
+result<asio::ip::udp::endpoint> parse_peer_address(const std::string& address)
+{
+    const auto parsed = http::parse_address(address);
+    if (!parsed)
+        return tl::unexpected{parsed.error()};
+    if (!parsed->address().is_v4() || parsed->address().is_unspecified() || parsed->port() == 0)
+        return fail(error_kind::bad_setting, "no reports can be sent to address '" + address + "'",
+                    "write it as IPv4:port");
+    return asio::ip::udp::endpoint{parsed->address(), parsed->port()};
+}
+
 wire::EndpointLoad to_wire(const std::string& incarnation, const endpoint_load& work)
 {
     wire::EndpointLoad row;
@@ -82,16 +95,20 @@
     std::erase_if(this->last_report_at,
                   [now](const auto& entry) { return entry.second + unregistered_peer_lifetime < now; });
     std::erase_if(this->peers, [this](const auto& entry) { return !this->last_report_at.contains(entry.first); });
+    std::set<std::string> unusable_hosts;
     for (const auto& [name, address] : addresses) {
-        const auto parsed = http::parse_address(address);
         if (name == this->host)
             continue;
-        if (!parsed) {
-            log_problem("peer_unusable", {{"host", name}, {"cause", describe(parsed.error())}});
+        const auto parsed = parse_peer_address(address);
+        if (parsed) {
+            this->peers.insert_or_assign(name, *parsed);
             continue;
         }
-        this->peers.insert_or_assign(name, asio::ip::udp::endpoint{parsed->address(), parsed->port()});
+        unusable_hosts.insert(name);
+        if (!this->unusable_hosts.contains(name))
+            log_problem("peer_unusable", {{"host", name}, {"cause", describe(parsed.error())}});
     }
+    this->unusable_hosts = std::move(unusable_hosts);
 }
 
 void load_report_exchange::record_peer(const std::string& name, const asio::ip::udp::endpoint& sender)
--- a/src/forward/load_report_exchange.h
+++ b/src/forward/load_report_exchange.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -102,6 +103,8 @@
     endpoint_health& health;
     load_report_hooks hooks;
     std::map<std::string, boost::asio::ip::udp::endpoint> peers;
+    /// Registered hosts whose address is unusable; each is logged once.
+    std::set<std::string> unusable_hosts;
     /// Time of the last report of each host, by host name.
     std::map<std::string, time_point> last_report_at;
     /// Newest sequence number of each host, by host name.
--- a/tests/forward/test_watches_and_reports.cpp
+++ b/tests/forward/test_watches_and_reports.cpp
@@ -82,6 +82,7 @@
     CPPUNIT_TEST(unavailable_store_is_polled_rarely);
     CPPUNIT_TEST(retry_now_ends_the_backoff);
     CPPUNIT_TEST(reporting_host_is_a_peer_before_the_host_list_names_it);
+    CPPUNIT_TEST(host_that_cannot_be_sent_reports_is_no_peer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -224,6 +225,23 @@
         this->io.reset();
     }
 
+    // Guards against a share of the retry budget, and datagrams, for a registration that names no host.
+    void host_that_cannot_be_sent_reports_is_no_peer()
+    {
+        asio::io_context own;
+        fleet_load load;
+        endpoint_health health;
+        load_report_exchange peers{own.get_executor(), "self", load, health, {}};
+        peers.set_peers({{"self", "10.0.0.1:7380"},
+                         {"sound", "10.0.0.2:7380"},
+                         {"out-of-range", "10.0.0.3:70000"},
+                         {"no-port", "10.0.0.4:0"},
+                         {"other-family", "::1:7380"},
+                         {"unspecified", "0.0.0.0:7380"},
+                         {"long", std::string(100'000, '1')}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, peers.host_count());
+    }
+
 private:
     counting_store store;
     std::unique_ptr<asio::io_context> io;
