Remove an endpoint at once when its entry is read as unusable

What callers would see: an entry that another writer replaced during an outage of the store was left out of the next full read like a missing one, so that its endpoint got requests for the time that missing entries have to return. A watch removes it at once. Change: a full read removes it, too: the entry is there and names no endpoint. Test: entry_that_became_odd_during_an_outage_gets_no_time_to_return, failed before (4 calls reached the endpoint in place of none).

--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -290,6 +290,8 @@
         auto decoded = this->documents.decode_endpoint(item.key, item.value.value_or(""));
         if (!decoded) {
             log_problem("endpoint_unusable", {{"key", item.key}, {"cause", describe(decoded.error())}});
+            // The entry is not missing, so that it gets no time to return.
+            this->context.directory.remove(item.key);
             continue;
         }
         entries.emplace(item.key, std::move(*decoded));
--- a/tests/platform/test_odd_entries.cpp
+++ b/tests/platform/test_odd_entries.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(entry_with_a_malformed_address_costs_no_request);
     CPPUNIT_TEST(line_break_in_an_id_adds_no_header_to_calls);
     CPPUNIT_TEST(changes_after_odd_entries_are_followed);
+    CPPUNIT_TEST(entry_that_became_odd_during_an_outage_gets_no_time_to_return);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -146,6 +147,23 @@
         CPPUNIT_ASSERT(this->site->gateway()->is_running());
     }
 
+    // Guards against the time that missing entries get after an outage, for an entry that is there and names nothing.
+    void entry_that_became_odd_during_an_outage_gets_no_time_to_return()
+    {
+        this->start();
+        this->site->store->set_fault(store_fault::reset);
+        CPPUNIT_ASSERT(wait_until(
+            [this] { return this->site->log().find("keyvalue_lost prefix=servers/") != std::string::npos; }));
+        standin_engine& odd = this->site->engine("p0");
+        this->site->store->put(odd.key(), this->entry_with("slots", -1));
+        this->site->store->set_fault(store_fault::none);
+        CPPUNIT_ASSERT(wait_until(
+            [this] { return this->site->log().find("endpoint_unusable key=servers/p0") != std::string::npos; }, 5s));
+        const std::size_t before = odd.calls().size();
+        this->check_requests(10);
+        CPPUNIT_ASSERT_EQUAL(before, odd.calls().size());
+    }
+
 private:
     std::unique_ptr<platform_site> site;
 };
