Fuzz entries together with their keys, and say what odd entries cost

The fuzz target of the entries mutates the key too and ends if an accepted entry has an id that is not visible, slots or a start time out of range, or no address.

--- a/tests/platform/fuzz_decoders.cpp
+++ b/tests/platform/fuzz_decoders.cpp
@@ -1,8 +1,10 @@
 #include "fuzz_decoders.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 #include "forward/event_relay.h"
+#include "http/server.h"
 #include "platform/host_settings.h"
 #include "platform/platform_dialect.h"
 #include "platform/store_client.h"
@@ -20,9 +22,22 @@
         static_cast<void>(config->find_route("h.example", "/a/b"));
 }
 
+/// The first line is the key, the rest is the entry. Ends the process if an entry is accepted that calls or the choice
+/// of an endpoint could not bear.
 void decode_entry(std::string_view bytes)
 {
-    static_cast<void>(platform::decode_endpoint("servers/i-1", std::string{bytes}));
+    const std::size_t end_of_key = std::min(bytes.find('\n'), bytes.size());
+    const std::string entry{bytes.substr(std::min(end_of_key + 1, bytes.size()))};
+    const auto decoded = platform::decode_endpoint(std::string{bytes.substr(0, end_of_key)}, entry);
+    if (!decoded)
+        return;
+    const bool is_id_visible =
+        std::ranges::all_of(decoded->id, [](char letter) { return letter > ' ' && letter <= '~'; });
+    constexpr int max_slots = 65'535;
+    const auto address = http::parse_address(decoded->address);
+    if (decoded->id.empty() || !is_id_visible || decoded->slots < 1 || decoded->slots > max_slots ||
+        decoded->started_ms < 0 || !address || address->port() == 0)
+        std::abort();
 }
 
 void decode_store_response(std::string_view bytes)
@@ -113,8 +128,12 @@
           R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304}})"}},
         {"site entry",
          decode_entry,
-         {R"({"service":"llm","address":"10.0.0.1:80","zone":"a","slots":6,"state":"ready","phase":"decode","born":1})",
-          R"({"service":"app","address":"10.0.0.2:80","zone":"b","slots":6,"state":"draining","sequence":4,"born":2})"}},
+         {"servers/i-1\n"
+          R"({"service":"llm","address":"10.0.0.1:80","zone":"a","slots":6,"state":"ready","phase":"decode","born":1})",
+          "servers/i-2\n"
+          R"({"service":"app","address":"10.0.0.2:80","zone":"b","slots":6,"state":"draining","sequence":4,"born":2})",
+          "servers/i-3\n"
+          R"({"service":"app","address":"0.0.0.0:65536","zone":"b","slots":1e300,"state":"ready","born":-9e999})"}},
         {"site store",
          decode_store_response,
          {R"({"items":[{"key":"servers/i-1","value":"e30=","revision":4,"created":4,"lease":0}],"truncated":true,)"
