--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -255,8 +255,10 @@
     {
         const std::string items =
             R"([{"key":"a","value":"%%","revision":5},{"key":"b","revision":6},{"key":"c","value":7,"revision":1e300},)"
-            R"({"value":"Yg==","revision":7},8,{"key":"d","value":"Yg==","revision":9}])";
-        const std::vector<key_change> expected{{"a", "", 5}, {"b", "", 6}, {"c", "", 0}, {"d", "b", 9}};
+            R"({"value":"Yg==","revision":7},8,{"key":"e","value":"Yg==","revision":-1},)"
+            R"({"key":"f","value":"Yg==","revision":18446744073709551615},{"key":"d","value":"Yg==","revision":9}])";
+        const std::vector<key_change> expected{{"a", "", 5},  {"b", "", 6},  {"c", "", 0},
+                                               {"e", "b", 0}, {"f", "b", 0}, {"d", "b", 9}};
         const auto watched = platform::decode_watch(R"({"current_rev":9,"events":)" + items + "}");
         CPPUNIT_ASSERT(watched && watched->changes == expected && watched->revision == 9);
         const auto page = platform::decode_range_page(R"({"current_rev":9,"truncated":true,"items":)" + items + "}");
