Break off a stream that ends inside an event

Where the route allows it, the stream did not go on at another engine. Cause: at the end of the body the forwarder passed on whatever followed the last complete event. A body that ends with its connection has no other sign of a break than that, but framing was no proof either: an engine that fails may end its chunks in the middle of an event. Change: a body that ends inside an event counts as a lost connection, whatever its framing. The torn part is dropped, and the stream resumes at another engine or is cut. A body that only its connection delimits must have an event as well, since an engine may end right after its head. Events may also end in CR LF; such a stream had no end of an event so far and would now count as torn.

--- a/src/forward/event_relay.h
+++ b/src/forward/event_relay.h
@@ -24,6 +24,9 @@
     /// Drops the incomplete event before the stream of another endpoint is read.
     void discard_partial_event();
 
+    /// Returns true if the bytes so far end inside an event.
+    bool has_partial_event() const;
+
     /// Returns and clears the bytes after the last complete event, for a stream that ended normally.
     std::string take_remainder();
 
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -40,6 +41,20 @@
     return std::max(std::chrono::duration_cast<milliseconds>(deadline - runtime_clock::now()), milliseconds{1});
 }
 
+bool is_event_stream(const http::response& head)
+{
+    constexpr unsigned status_ok = 200;
+    const std::string_view type = http::find_header(head.lines, "Content-Type");
+    return head.status == status_ok && (type.empty() || boost::algorithm::istarts_with(type, "text/event-stream"));
+}
+
+/// Returns whether the response ends with its connection.
+bool is_unframed(const http::response& head)
+{
+    return http::find_header(head.lines, "Content-Length").empty() &&
+           http::find_header(head.lines, "Transfer-Encoding").empty();
+}
+
 std::string ms_since(time_point start)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(runtime_clock::now() - start).count());
@@ -399,6 +414,9 @@
         if (!chunk)
             co_return this->handle_failure(target, chunk.error());
         const bool is_end = chunk->empty();
+        if (is_end && this->is_torn(stream.head()))
+            co_return this->handle_failure(
+                target, error{error_kind::connection_lost, "the stream ended before or inside an event", ""});
         const int events_before = this->relay.event_count();
         std::string new_events = is_end ? this->relay.take_remainder() : this->relay.push(*chunk);
         decode_load.add_tokens((this->relay.event_count() - events_before) * this->tokens_per_event());
@@ -423,6 +441,16 @@
     co_return next_step::done;
 }
 
+/// Returns whether a stream that ends here is incomplete. Framing does not tell: an engine that fails may still end its
+/// chunks. A stream that nothing but its connection delimits has to have an event.
+bool model_forwarder::is_torn(const http::response& head) const
+{
+    const bool has_events = this->relay.event_count() > 0 || this->relay.last_event_id();
+    if (!is_event_stream(head))
+        return false;
+    return this->relay.has_partial_event() || (is_unframed(head) && !has_events);
+}
+
 asio::awaitable<model_forwarder::next_step> model_forwarder::handle_error_response(const endpoint& target,
                                                                                    http::body_stream& stream)
 {
--- a/tests/platform/raw_server.cpp
+++ b/tests/platform/raw_server.cpp
@@ -1,6 +1,7 @@
 #include "raw_server.h"
 
 #include <array>
+#include <cstdio>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -101,11 +102,32 @@
 }
 
 std::string http_answer(unsigned status, const http::headers& lines, const std::string& body)
+{
+    http::headers framed = lines;
+    framed.push_back({"Content-Length", std::to_string(body.size())});
+    return unframed_answer(status, framed, body);
+}
+
+std::string chunked_answer(unsigned status, const http::headers& lines, const std::string& body)
+{
+    http::headers framed = lines;
+    framed.push_back({"Transfer-Encoding", "chunked"});
+    return unframed_answer(status, framed, chunk(body) + "0\r\n\r\n");
+}
+
+std::string unframed_answer(unsigned status, const http::headers& lines, const std::string& body)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " Stand-in\r\n";
     for (const http::header& line : lines)
         text += line.name + ": " + line.value + "\r\n";
-    return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return text + "\r\n" + body;
+}
+
+std::string chunk(const std::string& bytes)
+{
+    std::array<char, 16> size{};
+    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    return std::string{size.data(), static_cast<std::size_t>(length)} + bytes + "\r\n";
 }
 
 } // namespace radishstep::testing
--- a/tests/platform/raw_server.h
+++ b/tests/platform/raw_server.h
@@ -58,4 +58,13 @@
 /// Returns an HTTP/1.1 response with a Content-Length header.
 std::string http_answer(unsigned status, const http::headers& lines, const std::string& body);
 
+/// Returns an HTTP/1.1 response whose body is one chunk.
+std::string chunked_answer(unsigned status, const http::headers& lines, const std::string& body);
+
+/// Returns an HTTP/1.1 response with neither a length nor chunks, which ends with its connection.
+std::string unframed_answer(unsigned status, const http::headers& lines, const std::string& body);
+
+/// Returns one chunk of a chunked body.
+std::string chunk(const std::string& bytes);
+
 } // namespace radishstep::testing
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -1,7 +1,5 @@
 #include "standin_engine.h"
 
-#include <array>
-#include <cstdio>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -21,11 +19,6 @@
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_internal_error = 500;
 
-std::string stream_event(const std::string& request_id, int number)
-{
-    return "id: " + std::to_string(number) + "\ndata: " + request_id + " event " + std::to_string(number) + "\n\n";
-}
-
 std::string misdirected_response()
 {
     return http_answer(status_misdirected, {{"Instance-Id", "another"}}, "");
@@ -42,14 +35,17 @@
     std::atomic<int>& active;
 };
 
-std::string chunk(const std::string& bytes)
+} // namespace
+
+std::string stream_event(const std::string& request_id, int number)
 {
-    std::array<char, 16> size{};
-    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
-    return std::string{size.data(), static_cast<std::size_t>(length)} + bytes + "\r\n";
+    return "id: " + std::to_string(number) + "\ndata: " + request_id + " event " + std::to_string(number) + "\n\n";
 }
 
-} // namespace
+http::headers engine_headers(const engine_call& call)
+{
+    return {{"Attempt-Id", call.id}, {"Server-Signature", "signed"}};
+}
 
 std::string whole_stream(const std::string& request_id)
 {
@@ -96,6 +92,12 @@
     this->work_time = time;
 }
 
+void standin_engine::set_script(answer_script new_script)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->script = std::move(new_script);
+}
+
 std::vector<engine_call> standin_engine::calls() const
 {
     const std::scoped_lock lock{this->mutex};
@@ -108,11 +110,14 @@
     return static_cast<int>(std::ranges::count_if(this->all_calls, &engine_call::has_run));
 }
 
-std::size_t standin_engine::record_call(const http::request& request, const std::string& kind)
+std::size_t standin_engine::record_call(const http::request& request, const std::string& kind,
+                                        const raw_connection& caller)
 {
+    boost::system::error_code ignored;
+    const unsigned caller_port = caller.socket.remote_endpoint(ignored).port();
     const std::scoped_lock lock{this->mutex};
     this->all_calls.push_back({std::string{http::find_header(request.lines, "Attempt-Id")}, kind, request, false, false,
-                               runtime_clock::now()});
+                               runtime_clock::now(), caller_port});
     return this->all_calls.size() - 1;
 }
 
@@ -134,6 +139,12 @@
     return this->fault;
 }
 
+answer_script standin_engine::current_script() const
+{
+    const std::scoped_lock lock{this->mutex};
+    return this->script;
+}
+
 http::headers standin_engine::response_headers(std::size_t call) const
 {
     const std::scoped_lock lock{this->mutex};
@@ -152,15 +163,17 @@
     const std::string expected_instance{http::find_header(request.lines, "Expect-Instance")};
     const bool is_prefill = http::find_header(request.lines, "Serving-Phase") == "prefill";
     if (request.path() == "/order") {
-        this->record_call(request, "order");
+        this->record_call(request, "order", caller);
         constexpr unsigned status_accepted = 202;
         co_return co_await caller.write(http_answer(status_accepted, {}, ""));
     }
     if (request.path().starts_with("/kv-handle/")) {
-        this->record_call(request, "release");
+        this->record_call(request, "release", caller);
         co_return co_await caller.write(http_answer(status_ok, {}, ""));
     }
-    const std::size_t call = this->record_call(request, is_prefill ? "prefill" : this->phase);
+    const std::size_t call = this->record_call(request, is_prefill ? "prefill" : this->phase, caller);
+    if (answer_script active_script = this->current_script())
+        co_return co_await this->send_scripted_answer(call, caller, std::move(active_script));
     const engine_fault active_fault = this->current_fault();
     const bool is_misdirected =
         active_fault == engine_fault::other_instance || (!expected_instance.empty() && expected_instance != this->id);
@@ -208,6 +221,30 @@
     }
 }
 
+asio::awaitable<bool> standin_engine::send_scripted_answer(std::size_t call, raw_connection& caller,
+                                                           answer_script script)
+{
+    const scripted_answer answer = script(this->calls()[call]);
+    if (answer.has_run)
+        this->mark_run(call);
+    bool is_first = true;
+    for (const std::string& part : answer.parts) {
+        if (!std::exchange(is_first, false))
+            co_await pause_for(answer.pause);
+        if (!co_await caller.write(part))
+            co_return false;
+    }
+    if (answer.end == answer_end::reset) {
+        // The reset must not overtake the bytes before it, which the peer would then never read.
+        constexpr milliseconds delivery_time{20};
+        co_await pause_for(delivery_time);
+        caller.reset();
+    }
+    if (answer.end == answer_end::close)
+        caller.close();
+    co_return answer.end == answer_end::keep_open;
+}
+
 asio::awaitable<bool> standin_engine::send_plain_response(std::size_t call, raw_connection& caller)
 {
     this->mark_run(call);
@@ -217,6 +254,11 @@
         co_await send_without_end(caller, "X-Filler: " + std::string(part_bytes, 'x') + "\r\n", milliseconds{1});
         co_return false;
     }
+    if (this->current_fault() == engine_fault::endless_unframed_body) {
+        co_await caller.write(unframed_answer(status_ok, this->response_headers(call), ""));
+        co_await send_without_end(caller, std::string(part_bytes, 'x'), milliseconds{1});
+        co_return false;
+    }
     if (this->current_fault() == engine_fault::endless_body) {
         std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
         for (const http::header& line : this->response_headers(call))
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -42,6 +43,8 @@
     endless_head,
     /// The response's body has no end.
     endless_body,
+    /// The response's body has no end, no length and no chunks.
+    endless_unframed_body,
     /// After its third event a stream sends a byte of a comment every 100 ms, and no further event.
     dripping_stream,
 };
@@ -55,8 +58,28 @@
     bool has_run = false;
     bool caller_disconnected = false;
     time_point received_at;
+    /// Port of the connection's other end, which tells connections apart.
+    unsigned caller_port = 0;
 };
 
+/// What happens to the connection after a scripted answer.
+enum class answer_end { keep_open, close, reset };
+
+/// The bytes that an engine answers a call with, sent in parts.
+struct scripted_answer
+{
+    std::vector<std::string> parts;
+    answer_end end = answer_end::keep_open;
+    bool has_run = true;
+    /// Pause before each part but the first.
+    milliseconds pause{0};
+
+    bool operator==(const scripted_answer&) const = default;
+};
+
+/// Returns the answer to a call; called on the engine's executor.
+using answer_script = std::function<scripted_answer(const engine_call&)>;
+
 /// Simulates an engine or a plain endpoint of the platform. Runs on one executor; the public functions may be
 /// called from any thread.
 class standin_engine
@@ -79,6 +102,9 @@
     void set_fault(engine_fault fault);
     void set_work_time(milliseconds time);
 
+    /// Answers calls for the engine's service as the script says, in place of the usual answers and faults.
+    void set_script(answer_script script);
+
     /// Returns all calls received so far.
     std::vector<engine_call> calls() const;
 
@@ -97,15 +123,17 @@
 private:
     boost::asio::awaitable<bool> handle_request(const http::request& request, raw_connection& caller);
     static boost::asio::awaitable<void> send_without_end(raw_connection& caller, std::string bytes, milliseconds pause);
+    boost::asio::awaitable<bool> send_scripted_answer(std::size_t call, raw_connection& caller, answer_script script);
     boost::asio::awaitable<bool> send_plain_response(std::size_t call, raw_connection& caller);
     boost::asio::awaitable<bool> send_prefill_response(std::size_t call, raw_connection& caller);
     boost::asio::awaitable<bool> send_stream(std::size_t call, raw_connection& caller);
     boost::asio::awaitable<bool> simulate_work(std::size_t call, raw_connection& caller);
     http::headers response_headers(std::size_t call) const;
-    std::size_t record_call(const http::request& request, const std::string& kind);
+    std::size_t record_call(const http::request& request, const std::string& kind, const raw_connection& caller);
     void mark_run(std::size_t call);
     void mark_caller_disconnected(std::size_t call);
     engine_fault current_fault() const;
+    answer_script current_script() const;
 
     std::string id;
     std::string service;
@@ -113,12 +141,19 @@
     std::string advertised_address;
     mutable std::mutex mutex;
     engine_fault fault = engine_fault::none;
+    answer_script script;
     milliseconds work_time{5};
     std::vector<engine_call> all_calls;
     std::atomic<int> active_calls = 0;
     raw_server server;
 };
 
+/// Returns the headers of an engine's own answer to a call.
+http::headers engine_headers(const engine_call& call);
+
+/// Returns one event of a request's stream.
+std::string stream_event(const std::string& request_id, int number);
+
 /// Returns the complete stream for a request; it is the same on every engine.
 std::string whole_stream(const std::string& request_id);
 
--- a/tests/platform/test_troubled_servers.cpp
+++ b/tests/platform/test_troubled_servers.cpp
@@ -24,6 +24,7 @@
 {
     CPPUNIT_TEST_SUITE(test_troubled_servers);
     CPPUNIT_TEST(bodies_without_end_use_little_memory);
+    CPPUNIT_TEST(bodies_without_end_or_framing_use_little_memory);
     CPPUNIT_TEST(heads_without_end_use_little_memory);
     CPPUNIT_TEST(dripping_stream_goes_on_at_another_engine);
     CPPUNIT_TEST(dripping_stream_that_may_not_resume_ends_at_its_deadline);
@@ -82,6 +83,9 @@
 
     void bodies_without_end_use_little_memory() { this->check_memory(engine_fault::endless_body); }
 
+    // A body that ends with its connection has no announced size at all.
+    void bodies_without_end_or_framing_use_little_memory() { this->check_memory(engine_fault::endless_unframed_body); }
+
     void heads_without_end_use_little_memory() { this->check_memory(engine_fault::endless_head); }
 
     void dripping_stream_goes_on_at_another_engine()
--- /dev/null
+++ b/tests/platform/test_unframed_answers.cpp
@@ -0,0 +1,195 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+#include "base/text.h"
+#include "platform_site.h"
+
+namespace {
+
+using namespace radishstep;
+using namespace radishstep::testing;
+using namespace std::chrono_literals;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_gateway_timeout = 504;
+
+using answer_builder = std::string (*)(unsigned, const http::headers&, const std::string&);
+/// Body framing: a length, chunks, or neither.
+constexpr std::array<answer_builder, 3> framings{http_answer, chunked_answer, unframed_answer};
+
+/// Answers that end with their connection, and streams that end inside an event, through a gateway process.
+class test_unframed_answers : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_unframed_answers);
+    CPPUNIT_TEST(stream_that_ends_with_its_connection_is_complete);
+    CPPUNIT_TEST(stream_that_ends_inside_an_event_is_not_complete);
+    CPPUNIT_TEST(stream_that_ended_inside_an_event_goes_on_at_another_engine);
+    CPPUNIT_TEST(stream_that_ends_before_its_first_event_is_not_complete);
+    CPPUNIT_TEST(stream_reset_before_its_end_is_not_complete);
+    CPPUNIT_TEST(plain_answer_that_ends_with_its_connection_is_forwarded_whole);
+    CPPUNIT_TEST(plain_answer_reset_before_its_end_is_not_forwarded);
+    CPPUNIT_TEST(plain_answer_that_stays_open_is_not_complete);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        this->site = std::make_unique<platform_site>(2, 0, 2);
+        this->site->start_gateway();
+        CPPUNIT_ASSERT(this->site->wait_until_ready());
+    }
+
+    void tearDown() override { this->site.reset(); }
+
+    void set_script(const answer_script& script)
+    {
+        for (const auto& [id, engine] : this->site->engines)
+            engine->set_script(script);
+    }
+
+    site_response call(const std::string& path, int deadline_ms = 3'000)
+    {
+        site_request request;
+        request.path = path;
+        request.deadline_ms = deadline_ms;
+        if (!path.starts_with("/plain/") && !path.starts_with("/once/"))
+            request.extra_headers = {{"Model", "m"}, {"Token-Count", "300,100"}, {"Prefix-Hash", "a:200,b:100"}};
+        return this->site->call(request);
+    }
+
+    /// Returns the answer to a streamed call: events up to number `last`, then `rest`.
+    static std::string stream_answer(const engine_call& call, answer_builder build, int last, const std::string& rest)
+    {
+        const auto start = to_integer(http::find_header(call.request.lines, "Last-Event-Id")).value_or(0);
+        std::string body;
+        for (int number = static_cast<int>(start) + 1; number <= last; ++number)
+            body += stream_event(call.id, number);
+        http::headers lines = engine_headers(call);
+        lines.push_back({"Content-Type", "text/event-stream"});
+        return build(status_ok, lines, body + rest);
+    }
+
+    static bool is_resumed(const engine_call& call)
+    {
+        return !http::find_header(call.request.lines, "Last-Event-Id").empty();
+    }
+
+    static scripted_answer whole_unframed_stream(const engine_call& call)
+    {
+        return {{stream_answer(call, unframed_answer, standin_engine::stream_events, "")}, answer_end::close};
+    }
+
+    /// Returns a script under which a stream breaks in its fourth event and the run that resumes it is whole.
+    static answer_script torn_stream(answer_builder build, answer_end end)
+    {
+        return [build, end](const engine_call& call) -> scripted_answer {
+            if (is_resumed(call))
+                return whole_unframed_stream(call);
+            constexpr int whole_events = 3;
+            const std::string torn_event = stream_event(call.id, whole_events + 1).substr(0, 9);
+            return {{stream_answer(call, build, whole_events, torn_event)}, end};
+        };
+    }
+
+    // Guards against sound streams without framing that are taken for broken ones.
+    void stream_that_ends_with_its_connection_is_complete()
+    {
+        this->set_script(whole_unframed_stream);
+        for (const char* path : {"/stream/1", "/resume/1"}) {
+            const site_response response = this->call(path);
+            CPPUNIT_ASSERT(response.is_complete);
+            CPPUNIT_ASSERT_EQUAL(whole_stream("attempt-1"), response.body);
+        }
+    }
+
+    // Guards against torn streams that callers take for complete ones.
+    void stream_that_ends_inside_an_event_is_not_complete()
+    {
+        for (const answer_builder build : framings) {
+            this->set_script(torn_stream(build, answer_end::close));
+            const site_response response = this->call("/stream/1");
+            CPPUNIT_ASSERT(!response.is_complete);
+            CPPUNIT_ASSERT(whole_stream("attempt-1").starts_with(response.body));
+        }
+    }
+
+    // Guards against torn streams that end although another engine could go on.
+    void stream_that_ended_inside_an_event_goes_on_at_another_engine()
+    {
+        for (const answer_builder build : framings) {
+            this->set_script(torn_stream(build, answer_end::close));
+            const site_response response = this->call("/resume/1");
+            CPPUNIT_ASSERT(response.is_complete);
+            CPPUNIT_ASSERT_EQUAL(whole_stream("attempt-1"), response.body);
+        }
+    }
+
+    // Guards against an engine that ends right after a response head and whose empty stream counts as an answer.
+    void stream_that_ends_before_its_first_event_is_not_complete()
+    {
+        this->set_script([](const engine_call& call) -> scripted_answer {
+            return {{stream_answer(call, unframed_answer, 0, "")}, answer_end::close};
+        });
+        CPPUNIT_ASSERT(!this->call("/stream/1").is_complete);
+        CPPUNIT_ASSERT(!this->call("/resume/1").is_complete);
+    }
+
+    // Guards against a reset that is taken for the regular end of an answer without framing.
+    void stream_reset_before_its_end_is_not_complete()
+    {
+        this->set_script([](const engine_call& call) -> scripted_answer {
+            if (is_resumed(call))
+                return whole_unframed_stream(call);
+            return {{stream_answer(call, unframed_answer, 3, "")}, answer_end::reset};
+        });
+        CPPUNIT_ASSERT(!this->call("/stream/1").is_complete);
+        CPPUNIT_ASSERT_EQUAL(whole_stream("attempt-1"), this->call("/resume/1").body);
+    }
+
+    // Guards against answers without framing that are lost, failures among them.
+    void plain_answer_that_ends_with_its_connection_is_forwarded_whole()
+    {
+        constexpr unsigned status_internal_error = 500;
+        for (const unsigned status : {status_ok, status_internal_error}) {
+            this->set_script([status](const engine_call& call) -> scripted_answer {
+                return {
+                    {unframed_answer(status, engine_headers(call), "first "), "second"}, answer_end::close, true, 20ms};
+            });
+            for (const char* path : {"/plain/1", "/once/1"}) {
+                const site_response response = this->call(path);
+                CPPUNIT_ASSERT_EQUAL(status, response.status);
+                CPPUNIT_ASSERT(response.is_complete);
+                CPPUNIT_ASSERT_EQUAL(std::string{"first second"}, response.body);
+            }
+        }
+    }
+
+    // Guards against parts of answers that callers take for the whole.
+    void plain_answer_reset_before_its_end_is_not_forwarded()
+    {
+        this->set_script([](const engine_call& call) -> scripted_answer {
+            return {{unframed_answer(status_ok, engine_headers(call), "first ")}, answer_end::reset};
+        });
+        for (const char* path : {"/plain/1", "/once/1"})
+            CPPUNIT_ASSERT_EQUAL(status_bad_gateway, this->call(path).status);
+    }
+
+    // Guards against answers without an end that are forwarded when the time is over.
+    void plain_answer_that_stays_open_is_not_complete()
+    {
+        this->set_script([](const engine_call& call) -> scripted_answer {
+            return {{unframed_answer(status_ok, engine_headers(call), "first ")}, answer_end::keep_open};
+        });
+        const unsigned status = this->call("/once/1", 600).status;
+        CPPUNIT_ASSERT(status == status_bad_gateway || status == status_gateway_timeout);
+    }
+
+private:
+    std::unique_ptr<platform_site> site;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_unframed_answers);
+
+} // namespace
