Let only answers with the request's id decide about it

Cause: an answer without an id was accepted as a refusal (Not-Executed, or 421) of whatever request was waiting. An answer with another id was handled already. Change: any answer that does not have the request's id is an answer to another request: its connection is closed, the outcome of the request is unknown, and its kind decides about a retry. This holds for plain, prefill and decode calls. Ruled out, with tests that also passed before: refusals repeated in parts while a connection is idle or has its next request, and repeated by a prefill engine. Requests without leave to repeat, and decode calls, use connections of their own. Phase orders do so too, and the store's answers have no ids. Checks changed: endpoint_responses_are_classified took a 421 without an id as "another endpoint" and a signed 200 without an id as unverified; both are now answers to another request, which also closes the connection. A 421 with the id is checked in their place, and eight refusals without the id. The stand-in engine's 421 has the id, as the platform's.

--- a/src/forward/forward_dialect.h
+++ b/src/forward/forward_dialect.h
@@ -48,9 +48,10 @@
     not_executed,
     /// A different endpoint now has this address and did not run the call.
     wrong_endpoint,
-    /// A late answer to an earlier call.
+    /// The answer does not have the request's id, such as a late or repeated one to an earlier call; this call may have
+    /// run.
     wrong_request,
-    /// The answer lacks the endpoint's id or signature, or has an unsupported encoding; the call may have run.
+    /// The answer lacks the endpoint's signature or has an unsupported encoding; the call may have run.
     unverified,
 };
 
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -19,9 +19,10 @@
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_internal_error = 500;
 
-std::string misdirected_response()
+std::string misdirected_response(const http::request& request)
 {
-    return http_answer(status_misdirected, {{"Instance-Id", "another"}}, "");
+    const std::string request_id{http::find_header(request.lines, "Attempt-Id")};
+    return http_answer(status_misdirected, {{"Instance-Id", "another"}, {"Attempt-Id", request_id}}, "");
 }
 
 /// Counts a call as active during its lifetime.
@@ -178,7 +179,7 @@
     const bool is_misdirected =
         active_fault == engine_fault::other_instance || (!expected_instance.empty() && expected_instance != this->id);
     if (is_misdirected || (is_prefill && this->phase != "prefill") || (!is_prefill && this->phase == "prefill")) {
-        co_return co_await caller.write(misdirected_response());
+        co_return co_await caller.write(misdirected_response(request));
     }
     if (active_fault == engine_fault::shed) {
         http::headers lines = this->response_headers(call);
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -138,9 +138,14 @@
         CPPUNIT_ASSERT(classify(500, {{"Attempt-Id", "a1"}, {"Server-Signature", "s"}}) == answer_kind::executed);
         CPPUNIT_ASSERT(classify(200, {{"Attempt-Id", "a2"}, {"Server-Signature", "s"}}) == answer_kind::wrong_request);
         CPPUNIT_ASSERT(classify(200, {{"Attempt-Id", "a1"}}) == answer_kind::unverified);
-        CPPUNIT_ASSERT(classify(200, {{"Server-Signature", "s"}}) == answer_kind::unverified);
+        CPPUNIT_ASSERT(classify(200, {{"Server-Signature", "s"}}) == answer_kind::wrong_request);
         CPPUNIT_ASSERT(classify(503, {{"Attempt-Id", "a1"}, {"Not-Executed", "1"}}) == answer_kind::not_executed);
-        CPPUNIT_ASSERT(classify(421, {{"Instance-Id", "other"}}) == answer_kind::wrong_endpoint);
+        CPPUNIT_ASSERT(classify(421, {{"Attempt-Id", "a1"}, {"Instance-Id", "other"}}) == answer_kind::wrong_endpoint);
+        for (const unsigned status : {400U, 421U, 429U, 503U}) {
+            CPPUNIT_ASSERT(classify(status, {{"Not-Executed", "1"}}) == answer_kind::wrong_request);
+            CPPUNIT_ASSERT(classify(status, {{"Attempt-Id", "a2"}, {"Not-Executed", "1"}}) ==
+                           answer_kind::wrong_request);
+        }
         CPPUNIT_ASSERT(classify(200, {{"Attempt-Id", "a1"}, {"Server-Signature", "s"}, {"Content-Encoding", "gzip"}}) ==
                        answer_kind::unverified);
     }
