Retry a call of unknown outcome on a new connection

Callers of idempotent routes got 502 while all endpoints were sound but repeated earlier answers: the retry was sent on a connection that had been kept open too, on which another repeated answer was waiting, and used up the route's last attempt. Cause: retries reuse idle connections like first calls do. A connection that looks unused may get a repeated answer, or be closed, at any time until the answer. Change: once a call's outcome is unknown or a failure, the retry opens its own connection. Test: retry_after_a_repeated_refusal_meets_no_other, failed before ("Expected: answer to attempt-5 - Actual : {"error":{"kind":"endpoint_failed","message":"no endpoint answered successfully"").

--- a/src/forward/plain_forwarder.cpp
+++ b/src/forward/plain_forwarder.cpp
@@ -59,8 +59,9 @@
     http::call_options options;
     options.connect_timeout = std::min(connect_timeout, this->active.canceller.time_left());
     options.idle_timeout = this->active.canceller.time_left();
-    // The endpoint may close a reused connection while the request is sent, which leaves its outcome unknown.
-    options.fresh_connection = !this->active.matched_route.is_repeatable;
+    // The endpoint may close a reused connection while the request is sent, or repeat an earlier answer on it, which
+    // leaves the request's outcome unknown. A retry must not fail in the same way.
+    options.fresh_connection = !this->active.matched_route.is_repeatable || this->run_count > 0;
     options.abort = this->active.canceller.begin_call();
     options.is_matching_response = [this](const http::response& head) {
         return this->context.dialect.classify_answer(this->active.request, head) != answer_kind::wrong_request;
--- a/tests/platform/test_repeated_answers.cpp
+++ b/tests/platform/test_repeated_answers.cpp
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -42,6 +44,7 @@
     CPPUNIT_TEST(refusal_of_another_request_does_not_count_as_the_answer);
     CPPUNIT_TEST(refusal_of_another_request_does_not_end_a_stream_as_not_run);
     CPPUNIT_TEST(refusal_repeated_on_kept_connections_fails_no_request);
+    CPPUNIT_TEST(retry_after_a_repeated_refusal_meets_no_other);
     CPPUNIT_TEST(refusal_repeated_by_a_prefill_engine_does_no_harm);
     CPPUNIT_TEST_SUITE_END();
 
@@ -143,6 +146,21 @@
         }
     }
 
+    // Guards against a retry on a kept connection on which an earlier answer is repeated as well.
+    void retry_after_a_repeated_refusal_meets_no_other()
+    {
+        const auto used_ports = std::make_shared<std::set<unsigned>>();
+        this->set_script("p", [used_ports](const engine_call& call) -> scripted_answer {
+            const bool is_new_connection = used_ports->insert(call.caller_port).second;
+            return {{(is_new_connection ? "" : refusal(503, "an-earlier-call")) + answer(call)}};
+        });
+        constexpr int calls = 12;
+        for (int i = 0; i < calls; ++i) {
+            const std::string id = "attempt-" + std::to_string(i);
+            CPPUNIT_ASSERT_EQUAL("answer to " + id, this->call("/plain/1", id).body);
+        }
+    }
+
     // Guards against prompts that are refused since another one was.
     void refusal_repeated_by_a_prefill_engine_does_no_harm()
     {
