Keep the prefill calls of one request on connections of their own

Suspected, not seen by a caller: a request that broke off and is read in again at the same prefill engine used the same connection twice. An answer to its first call that the engine repeats there has the request's id, so that it would pass for the answer to the second call, with a handle that is gone. Change: a further prefill call of a request to an engine opens its own connection. Test: prefill_calls_of_a_request_do_not_share_a_connection, failed before ("assertion failed - Expression: calls[0].caller_port != calls[1].caller_port").

--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -307,6 +307,8 @@
     http::call_options options;
     options.connect_timeout = std::min(connect_timeout, this->active.canceller.time_left());
     options.idle_timeout = std::min(timeout, this->active.canceller.time_left());
+    // A repeated answer to an earlier prefill call of this request would have its id.
+    options.fresh_connection = !this->called_prefill_engines.insert(target.incarnation()).second;
     options.abort = this->active.canceller.begin_call();
     options.is_matching_response = [this](const http::response& head) {
         return this->context.dialect.classify_answer(this->active.request, head) != answer_kind::wrong_request;
--- a/src/forward/model_forwarder.h
+++ b/src/forward/model_forwarder.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -81,6 +82,7 @@
     forward_context& context;
     active_request active;
     excluded_endpoints excluded_engines;
+    std::set<std::string> called_prefill_engines;
     event_relay relay;
     request_outcome outcome;
     std::optional<time_point> last_event_at;
--- a/tests/platform/test_repeated_answers.cpp
+++ b/tests/platform/test_repeated_answers.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(refusal_repeated_on_kept_connections_fails_no_request);
     CPPUNIT_TEST(retry_after_a_repeated_refusal_meets_no_other);
     CPPUNIT_TEST(refusal_repeated_by_a_prefill_engine_does_no_harm);
+    CPPUNIT_TEST(prefill_calls_of_a_request_do_not_share_a_connection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -172,6 +173,23 @@
         });
     }
 
+    // Guards against an answer to the first prefill call of a request that is repeated in front of the answer to its
+    // second one: both have the request's id.
+    void prefill_calls_of_a_request_do_not_share_a_connection()
+    {
+        this->set_script("d", [](const engine_call& call) -> scripted_answer {
+            if (!http::find_header(call.request.lines, "Last-Event-Id").empty())
+                return {{http_answer(500, engine_headers(call), "")}};
+            http::headers lines = engine_headers(call);
+            lines.push_back({"Content-Type", "text/event-stream"});
+            return {{unframed_answer(status_ok, lines, stream_event(call.id, 1))}, answer_end::reset};
+        });
+        this->call("/resume/1", "attempt-1");
+        const std::vector<engine_call> calls = this->site->engine("r0").calls();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, calls.size());
+        CPPUNIT_ASSERT(calls[0].caller_port != calls[1].caller_port);
+    }
+
 private:
     std::unique_ptr<platform_site> site;
 };
