Keep answers that are no streams out of a stream

Cause: only statuses from 500 on were kept from the relay; every other body was relayed as a stream, whatever its status and type. Change: an answer is relayed only if it is a 200 with an event stream (or without a type). Any other one is a failure once the stream has begun. As a first answer it is read whole, up to the bound of error bodies, and forwarded with its length, so that one that breaks off is not forwarded at all. Ruled out, with tests that also passed before: statuses from 500 on, refusals (421, 429, 503), a run that starts from the first event again, and one that has nothing to add after the last event. Tests: test_resumed_streams, failed before: error_of_the_next_engine_stays_out_of_the_stream ("assertion failed - Expression: !response.is_complete - 400"), answer_of_another_kind_stays_out_of_the_stream ("... - application/json").

--- a/src/forward/event_relay.h
+++ b/src/forward/event_relay.h
@@ -27,7 +27,7 @@
     /// Returns true if the bytes so far end inside an event.
     bool has_partial_event() const;
 
-    /// Returns and clears the bytes after the last complete event, for a stream that ended normally.
+    /// Returns and clears the line ends after the last complete event, for a stream that ended normally.
     std::string take_remainder();
 
     /// Returns the id of the last event that the caller has: the newest id returned by push(), or else the id given to
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -29,8 +29,8 @@
 /// Idle timeout of a stream that may resume at another engine; callers abandon a stream after longer gaps.
 constexpr milliseconds resumable_stream_idle_timeout{1'200};
 
-/// Longest body of an engine's error response that is forwarded.
-constexpr std::size_t max_error_body_bytes = 64UL * 1024;
+/// Longest body of an engine's response that is forwarded and is no event stream.
+constexpr std::size_t max_plain_body_bytes = 64UL * 1024;
 
 /// Most calls per request: one set of sends for the prefill calls and one for the decode calls.
 constexpr int max_model_sends = 2 * max_sends;
@@ -389,8 +389,8 @@
     }
     this->prefilled.reset();
     ++this->run_count;
-    if ((*stream)->head().status >= min_failure_status)
-        co_return co_await this->handle_error_response(target, **stream);
+    if (!is_event_stream((*stream)->head()))
+        co_return co_await this->handle_plain_response(target, **stream);
     co_return co_await this->relay_stream(target, decode_load, **stream, sent_at);
 }
 
@@ -448,19 +448,21 @@
 bool model_forwarder::is_torn(const http::response& head) const
 {
     const bool has_events = this->relay.event_count() > 0 || this->relay.last_event_id();
-    if (!is_event_stream(head))
-        return false;
     return this->relay.has_partial_event() || (is_unframed(head) && !has_events);
 }
 
-asio::awaitable<model_forwarder::next_step> model_forwarder::handle_error_response(const endpoint& target,
+/// Handles a response that is no event stream, usually an error. None of it may get into a stream that has begun.
+asio::awaitable<model_forwarder::next_step> model_forwarder::handle_plain_response(const endpoint& target,
                                                                                    http::body_stream& stream)
 {
-    this->context.health.record_outcome(target.incarnation(), call_outcome::failed, runtime_clock::now());
-    if (this->active.matched_route.is_repeatable && this->run_count < this->active.matched_route.max_endpoints)
-        co_return next_step::retry;
+    const bool is_failure = stream.head().status >= min_failure_status || this->has_started_response;
+    this->context.health.record_outcome(
+        target.incarnation(), is_failure ? call_outcome::failed : call_outcome::answered, runtime_clock::now());
     if (this->has_started_response)
         co_return next_step::retry;
+    if (is_failure && this->active.matched_route.is_repeatable &&
+        this->run_count < this->active.matched_route.max_endpoints)
+        co_return next_step::retry;
     http::response answer = this->context.dialect.make_caller_head(stream.head());
     while (true) {
         auto chunk = co_await stream.next();
@@ -469,10 +471,10 @@
         if (chunk->empty())
             break;
         answer.body += *chunk;
-        if (answer.body.size() > max_error_body_bytes) {
+        if (answer.body.size() > max_plain_body_bytes) {
             const std::string size = std::to_string(answer.body.size());
             co_return this->handle_failure(
-                target, error{error_kind::protocol, "the error response has no end after " + size + " bytes", ""});
+                target, error{error_kind::protocol, "the response has no end after " + size + " bytes", ""});
         }
     }
     this->outcome.status = answer.status;
--- a/src/forward/model_forwarder.h
+++ b/src/forward/model_forwarder.h
@@ -71,7 +71,7 @@
     boost::asio::awaitable<next_step> relay_stream(const endpoint& target, load_guard& decode_load,
                                                    http::body_stream& stream, time_point sent_at);
     bool is_torn(const http::response& head) const;
-    boost::asio::awaitable<next_step> handle_error_response(const endpoint& target, http::body_stream& stream);
+    boost::asio::awaitable<next_step> handle_plain_response(const endpoint& target, http::body_stream& stream);
     next_step handle_failure(const endpoint& target, const error& reason);
     void release_prefill();
     bool try_spend_retry_budget(int delivered_calls);
