Join a resumed stream only where it follows

Cause: the relay dropped events with an id that the caller had, and forwarded everything else unseen. Change: the first new event of a further run must have the id after the last one; where ids within a run are not consecutive, a gap cannot be told, and any later id is accepted. A stream whose last event has no id is not resumed. An event with a line that is neither a comment nor a field breaks the stream, before it is forwarded; the events before it are. An error event that an engine sends in the stream's format is its own and still forwarded.

--- a/src/forward/event_relay.cpp
+++ b/src/forward/event_relay.cpp
@@ -1,6 +1,7 @@
 #include "forward/event_relay.h"
 
 #include <algorithm>
+#include <cctype>
 #include <utility>
 
 #include "base/text.h"
@@ -26,26 +27,45 @@
     return std::string_view::npos;
 }
 
-/// Returns the integer in the `id:` line of an event, if it has one.
-std::optional<std::int64_t> event_id(std::string_view event)
+/// What one event consists of.
+struct event_fields
 {
-    constexpr std::string_view id_prefix = "id:";
+    std::optional<std::int64_t> id;
+    /// False for an event of comments and empty lines only.
+    bool has_fields = false;
+    /// Every line is a comment or starts with the name of a field, as no line of a response head or of JSON does.
+    bool is_valid = true;
+};
+
+bool is_name_character(char character)
+{
+    return std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '-' || character == '_';
+}
+
+std::optional<std::int64_t> parse_id(std::string_view value)
+{
+    while (value.starts_with(' '))
+        value.remove_prefix(1);
+    return to_integer(value);
+}
+
+event_fields parse_fields(std::string_view event)
+{
+    event_fields fields;
     while (!event.empty()) {
-        const std::size_t end = event.find('\n');
-        std::string_view line = event.substr(0, end);
-        if (line.starts_with(id_prefix)) {
-            line.remove_prefix(id_prefix.size());
-            while (line.starts_with(' '))
-                line.remove_prefix(1);
-            if (line.ends_with('\r'))
-                line.remove_suffix(1);
-            return to_integer(line);
-        }
-        if (end == std::string_view::npos)
-            break;
-        event.remove_prefix(end + 1);
+        std::string_view line = event.substr(0, event.find('\n'));
+        event.remove_prefix(std::min(event.size(), line.size() + 1));
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        const std::string_view name = line.substr(0, line.find(':'));
+        if (name.empty())
+            continue;
+        fields.has_fields = true;
+        fields.is_valid = fields.is_valid && std::ranges::all_of(name, is_name_character);
+        if (name == "id" && !fields.id && name.size() < line.size())
+            fields.id = parse_id(line.substr(name.size() + 1));
     }
-    return std::nullopt;
+    return fields;
 }
 
 } // namespace
@@ -55,29 +75,50 @@
     this->buffer.append(bytes);
     std::string new_events;
     std::size_t start = 0;
-    while (true) {
+    while (!this->is_invalid) {
         const std::size_t end = find_event_end(this->buffer, start);
         if (end == std::string_view::npos)
             break;
         const std::string_view event{this->buffer.data() + start, end - start};
         start = end;
-        const auto id = event_id(event);
-        if (id && this->last_id && *id <= *this->last_id)
+        const event_fields fields = parse_fields(event);
+        if (fields.id && this->last_id && *fields.id <= *this->last_id)
             continue;
-        if (id)
-            this->last_id = id;
+        if (!fields.is_valid || (fields.has_fields && !this->follows(fields.id))) {
+            this->is_invalid = true;
+            break;
+        }
+        if (fields.has_fields) {
+            if (fields.id && this->last_id && *fields.id != *this->last_id + 1)
+                this->are_ids_consecutive = false;
+            this->is_joining = false;
+            this->has_id_at_end = fields.id.has_value();
+        }
+        if (fields.id)
+            this->last_id = fields.id;
         new_events.append(event);
         ++this->relayed_events;
     }
     this->buffer.erase(0, start);
     if (this->buffer.size() > max_event_bytes)
-        this->has_oversized_event = true;
+        this->is_invalid = true;
     return new_events;
 }
 
-void event_relay::discard_partial_event()
+/// Returns whether an event with this id may come next. Within a run the endpoint decides; where ids are not
+/// consecutive, a gap between two runs cannot be told.
+bool event_relay::follows(const std::optional<std::int64_t>& id) const
+{
+    if (!this->is_joining || !this->last_id)
+        return true;
+    return id && (!this->are_ids_consecutive || *id == *this->last_id + 1);
+}
+
+void event_relay::begin_run()
 {
     this->buffer.clear();
+    this->is_invalid = false;
+    this->is_joining = this->relayed_events > 0;
 }
 
 bool event_relay::has_partial_event() const
--- a/src/forward/event_relay.h
+++ b/src/forward/event_relay.h
@@ -18,11 +18,14 @@
 
     explicit event_relay(std::optional<std::int64_t> last_event_id) : last_id(last_event_id) {}
 
-    /// Appends bytes of the endpoint's stream; returns the complete new events.
+    /// Appends bytes of the endpoint's stream; returns the complete new events up to the first that breaks it.
     std::string push(std::string_view bytes);
 
-    /// Drops the incomplete event before the stream of another endpoint is read.
-    void discard_partial_event();
+    /// Starts the stream of another endpoint: drops the incomplete event of the one before.
+    void begin_run();
+
+    /// Returns whether the stream of another endpoint can be joined: the last event has an id, or there was none.
+    bool can_resume() const { return this->has_id_at_end; }
 
     /// Returns true if the bytes so far end inside an event.
     bool has_partial_event() const;
@@ -37,14 +40,21 @@
     /// Returns the number of events returned by push().
     int event_count() const { return this->relayed_events; }
 
-    /// Returns true once an incomplete event has exceeded max_event_bytes.
-    bool is_broken() const { return this->has_oversized_event; }
+    /// Returns true once an incomplete event has exceeded max_event_bytes, an event has had a line that is no field, or
+    /// the stream of another endpoint has not followed the events before it.
+    bool is_broken() const { return this->is_invalid; }
 
 private:
+    bool follows(const std::optional<std::int64_t>& id) const;
+
     std::string buffer;
     std::optional<std::int64_t> last_id;
     int relayed_events = 0;
-    bool has_oversized_event = false;
+    /// Set until an event of the current run has joined it to the events of the run before.
+    bool is_joining = false;
+    bool are_ids_consecutive = true;
+    bool has_id_at_end = true;
+    bool is_invalid = false;
 };
 
 } // namespace radishstep::forward
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -406,7 +406,7 @@
         if (!is_head_sent)
             co_return next_step::retry;
     }
-    this->relay.discard_partial_event();
+    this->relay.begin_run();
     time_point last_progress_at = runtime_clock::now();
     while (true) {
         // Only whole events count as progress: an engine that stalls may still send comments or parts of an event.
@@ -422,8 +422,6 @@
         const int events_before = this->relay.event_count();
         std::string new_events = is_end ? this->relay.take_remainder() : this->relay.push(*chunk);
         decode_load.add_tokens((this->relay.event_count() - events_before) * this->tokens_per_event());
-        if (this->relay.is_broken())
-            co_return this->handle_failure(target, error{error_kind::protocol, "an event is too long", ""});
         if (!new_events.empty()) {
             this->record_event_time();
             last_progress_at = runtime_clock::now();
@@ -431,6 +429,9 @@
             if (!is_written)
                 co_return next_step::retry;
         }
+        if (this->relay.is_broken())
+            co_return this->handle_failure(
+                target, error{error_kind::protocol, "an event is malformed or too long, or does not follow", ""});
         if (is_end)
             break;
     }
@@ -513,6 +514,8 @@
 {
     if (this->active.canceller.is_caller_disconnected())
         return error{error_kind::caller_gone, "the caller disconnected", ""};
+    if (!this->relay.can_resume())
+        return error{error_kind::outcome_unknown, "the stream broke after an event without an id", ""};
     if (this->run_count > 0 && !this->active.matched_route.is_repeatable)
         return error{error_kind::outcome_unknown, "the engine's stream broke and may not be repeated", ""};
     if (this->run_count >= this->active.matched_route.max_endpoints)
--- a/tests/forward/test_membership_and_budget.cpp
+++ b/tests/forward/test_membership_and_budget.cpp
@@ -351,7 +351,7 @@
         event_relay relay{std::nullopt};
         CPPUNIT_ASSERT_EQUAL(std::string{"id: 1\ndata: a\n\n"}, relay.push("id: 1\ndata: a\n\nid: 2\nda"));
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, *relay.last_event_id());
-        relay.discard_partial_event();
+        relay.begin_run();
         CPPUNIT_ASSERT_EQUAL(std::string{"id: 2\ndata: b\n\n"}, relay.push("id: 2\ndata: b\n\n"));
         CPPUNIT_ASSERT_EQUAL(2, relay.event_count());
     }
--- a/tests/platform/test_resumed_streams.cpp
+++ b/tests/platform/test_resumed_streams.cpp
@@ -41,7 +41,11 @@
     CPPUNIT_TEST(error_of_the_next_engine_stays_out_of_the_stream);
     CPPUNIT_TEST(refusal_of_the_next_engine_stays_out_of_the_stream);
     CPPUNIT_TEST(answer_of_another_kind_stays_out_of_the_stream);
+    CPPUNIT_TEST(response_head_inside_a_stream_is_not_forwarded);
     CPPUNIT_TEST(run_that_starts_again_from_the_first_event_repeats_nothing);
+    CPPUNIT_TEST(run_that_leaves_out_an_event_is_not_joined);
+    CPPUNIT_TEST(run_without_event_ids_is_not_joined);
+    CPPUNIT_TEST(stream_without_event_ids_is_not_resumed);
     CPPUNIT_TEST(stream_broken_after_its_last_event_completes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -81,6 +85,14 @@
         return this->site->call(request);
     }
 
+    int total_runs()
+    {
+        int sum = 0;
+        for (const auto& [id, engine] : this->site->engines)
+            sum += engine->runs();
+        return sum;
+    }
+
     /// Checks that the caller gets the events before the break, nothing else and no end.
     void check_is_cut(const std::string& name)
     {
@@ -129,6 +141,24 @@
         this->check_is_cut("no response head");
     }
 
+    // Guards against an engine that writes another response into its stream.
+    void response_head_inside_a_stream_is_not_forwarded()
+    {
+        for (const char* line_end : {"\n", "\r\n"}) {
+            const std::string second_head =
+                std::string{"HTTP/1.1 500 Failed"} + line_end + "Content-Type: application/json" + line_end + line_end;
+            this->set_resumed_answer([second_head](const engine_call& call) -> scripted_answer {
+                return {{stream_answer(call, second_head + "{\"error\": \"it failed\"}\n\n")}, answer_end::close};
+            });
+            this->check_is_cut("at the start of a run");
+            this->set_script([second_head](const engine_call& call) -> scripted_answer {
+                const std::string body = events(call.id, 1, events_before_break) + second_head + "{}\n\n";
+                return {{stream_answer(call, body)}, answer_end::close};
+            });
+            this->check_is_cut("in the first run");
+        }
+    }
+
     // Guards against events that a caller gets twice.
     void run_that_starts_again_from_the_first_event_repeats_nothing()
     {
@@ -140,6 +170,37 @@
         CPPUNIT_ASSERT_EQUAL(whole_stream("attempt-1"), response.body);
     }
 
+    // Guards against a stream that lacks the events between the break and the first event of the run that resumes it.
+    void run_that_leaves_out_an_event_is_not_joined()
+    {
+        this->set_resumed_answer([](const engine_call& call) -> scripted_answer {
+            const std::string rest = events(call.id, events_before_break + 2, standin_engine::stream_events);
+            return {{stream_answer(call, rest)}, answer_end::close};
+        });
+        this->check_is_cut("event 4 is missing");
+    }
+
+    // Guards against events of which nobody knows whether the caller has them.
+    void run_without_event_ids_is_not_joined()
+    {
+        this->set_resumed_answer([](const engine_call& call) -> scripted_answer {
+            return {{stream_answer(call, "data: event 1\n\ndata: event 2\n\n")}, answer_end::close};
+        });
+        this->check_is_cut("no ids");
+    }
+
+    // Guards against a stream that starts again in the middle since its first run had no ids.
+    void stream_without_event_ids_is_not_resumed()
+    {
+        this->set_script([](const engine_call& call) -> scripted_answer {
+            return {{stream_answer(call, "data: event 1\n\n")}, answer_end::reset};
+        });
+        const site_response response = this->stream();
+        CPPUNIT_ASSERT(!response.is_complete);
+        CPPUNIT_ASSERT_EQUAL(std::string{"data: event 1\n\n"}, response.body);
+        CPPUNIT_ASSERT_EQUAL(1, this->total_runs());
+    }
+
     // Guards against a stream that stays incomplete although only its end was lost.
     void stream_broken_after_its_last_event_completes()
     {
