Count runs that end without an answer after a stream has begun

Cause: a call that broke off before its response head counted as a run only if the stream had not begun yet. Change: each call that may have arrived counts when it fails to open. An error body that breaks off no longer counts its run twice. Test: lost_runs_count_against_the_most_endpoints, failed before ("equality assertion failed - Expected: 2 - Actual : 4", four engines).

--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -367,8 +367,11 @@
     auto stream = co_await this->context.http_client.open(target.address, std::move(call), std::move(options));
     this->record_delivery_or_refund(this->delivered_decode_calls,
                                     stream.has_value() || may_have_arrived(stream.error().kind));
-    if (!stream)
+    if (!stream) {
+        if (may_have_arrived(stream.error().kind))
+            ++this->run_count;
         co_return this->handle_failure(target, stream.error());
+    }
     this->log_call("decode_answered", target, sent_at, (*stream)->head());
     const time_point now = runtime_clock::now();
     switch (this->context.dialect.classify_answer(this->active.request, (*stream)->head())) {
@@ -485,11 +488,8 @@
 
 model_forwarder::next_step model_forwarder::handle_failure(const endpoint& target, const error& reason)
 {
-    const bool may_have_run = may_have_arrived(reason.kind);
-    if (may_have_run)
+    if (may_have_arrived(reason.kind))
         this->prefilled.reset();
-    if (may_have_run && !this->has_started_response)
-        ++this->run_count;
     log_decision("stream_broken", {{"request", this->active.request.id},
                                    {"endpoint", target.id},
                                    {"events", std::to_string(this->relay.event_count())},
--- a/tests/platform/test_resumed_streams.cpp
+++ b/tests/platform/test_resumed_streams.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(run_without_event_ids_is_not_joined);
     CPPUNIT_TEST(stream_without_event_ids_is_not_resumed);
     CPPUNIT_TEST(stream_broken_after_its_last_event_completes);
+    CPPUNIT_TEST(lost_runs_count_against_the_most_endpoints);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -214,6 +215,16 @@
         CPPUNIT_ASSERT_EQUAL(whole_stream("attempt-1"), response.body);
     }
 
+    // Guards against more runs than the route allows when engines end without an answer.
+    void lost_runs_count_against_the_most_endpoints()
+    {
+        this->tearDown();
+        this->start(4);
+        this->set_resumed_answer([](const engine_call&) -> scripted_answer { return {{}, answer_end::reset}; });
+        this->check_is_cut("lost runs");
+        CPPUNIT_ASSERT_EQUAL(2, this->total_runs());
+    }
+
 private:
     std::unique_ptr<platform_site> site;
 };
