Refuse a response whose announced length is beyond the bound

One endpoint that announces a length of 10^18 bytes ended the gateway ("terminate called after throwing an instance of 'std::bad_alloc'"), with all requests on it. Cause: the parser reserves memory for the announced length when the head is complete. The limit of a response counted received bytes only, after that. Change: the parser has the limit too and refuses such a head. The message of both cases is "the response is too long". Streams are read in parts and reserve nothing.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -333,12 +333,13 @@
         error_code failure;
         const std::size_t received = co_await beast::http::async_read_some(
             conn.stream, conn.buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
-        if (failure)
+        const bool is_too_long = failure == beast::http::error::body_limit;
+        if (failure && !is_too_long)
             co_return to_call_error(failure);
-        if (!size.add(received)) {
+        if (!size.add(received) || is_too_long) {
             count("radishstep_http_responses_too_long_total");
             co_return fail(error_kind::protocol,
-                           "the response has no end after " + std::to_string(size.total()) + " bytes",
+                           "the response is too long, " + std::to_string(size.total()) + " bytes of it were read",
                            "see the endpoint's own log");
         }
     }
@@ -363,7 +364,8 @@
         co_return tl::unexpected{conn.error()};
     }
     response_parser parser;
-    parser.body_limit(boost::none);
+    // Refuses a longer announced length, for which the parser would reserve memory at once.
+    parser.body_limit(max_response_bytes);
     parser.header_limit(max_head_bytes);
     (*conn)->stream.expires_after(options.idle_timeout);
     const auto read = co_await read_response(**conn, *pool, parser);
--- a/tests/platform/test_unframed_answers.cpp
+++ b/tests/platform/test_unframed_answers.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(plain_answer_that_ends_with_its_connection_is_forwarded_whole);
     CPPUNIT_TEST(plain_answer_reset_before_its_end_is_not_forwarded);
     CPPUNIT_TEST(plain_answer_that_stays_open_is_not_complete);
+    CPPUNIT_TEST(announced_length_beyond_the_bound_costs_no_memory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -187,6 +188,20 @@
         CPPUNIT_ASSERT(status == status_bad_gateway || status == status_gateway_timeout);
     }
 
+    // Guards against a length that no memory suffices for, which is reserved before the first byte of the body.
+    void announced_length_beyond_the_bound_costs_no_memory()
+    {
+        this->set_script([](const engine_call& call) -> scripted_answer {
+            http::headers lines = engine_headers(call);
+            lines.push_back({"Content-Length", "1000000000000000000"});
+            return {{unframed_answer(status_ok, lines, "first ")}, answer_end::keep_open};
+        });
+        for (const char* path : {"/plain/1", "/once/1"})
+            CPPUNIT_ASSERT_EQUAL(status_bad_gateway, this->call(path, 600).status);
+        this->set_script(nullptr);
+        CPPUNIT_ASSERT_EQUAL(status_ok, this->call("/once/1").status);
+    }
+
 private:
     std::unique_ptr<platform_site> site;
 };
