Tests: a late answer of the store does not count as the next

The store's answers have no id, so that only their connection tells them apart. It cannot happen here: a call that times out closes its connection.

--- a/tests/platform/test_repeated_answers.cpp
+++ b/tests/platform/test_repeated_answers.cpp
@@ -1,11 +1,17 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <future>
 #include <memory>
 #include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include "base/pause.h"
+#include "platform/store_client.h"
 #include "platform_site.h"
 
 namespace {
@@ -13,6 +19,7 @@
 using namespace radishstep;
 using namespace radishstep::testing;
 using namespace std::chrono_literals;
+namespace asio = boost::asio;
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_gateway = 502;
@@ -47,6 +54,7 @@
     CPPUNIT_TEST(retry_after_a_repeated_refusal_meets_no_other);
     CPPUNIT_TEST(refusal_repeated_by_a_prefill_engine_does_no_harm);
     CPPUNIT_TEST(prefill_calls_of_a_request_do_not_share_a_connection);
+    CPPUNIT_TEST(late_answer_of_the_store_does_not_count_as_the_next);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -191,6 +199,34 @@
         CPPUNIT_ASSERT(calls[0].caller_port != calls[1].caller_port);
     }
 
+    // Guards against an answer of the store that comes after its call has timed out, and that no id tells from the
+    // next.
+    void late_answer_of_the_store_does_not_count_as_the_next()
+    {
+        asio::io_context io;
+        int calls = 0;
+        const auto answer_call = [&calls](const http::request&, raw_connection& caller) -> asio::awaitable<bool> {
+            constexpr milliseconds longer_than_the_timeout{1'600};
+            const int call = ++calls;
+            if (call == 1)
+                co_await pause_for(longer_than_the_timeout);
+            co_return co_await caller.write(http_answer(status_ok, {}, "{\"lease\":" + std::to_string(call) + "}"));
+        };
+        const raw_server server{io.get_executor(), "127.0.0.1:0", answer_call};
+        platform::store_client store{io.get_executor(), server.address()};
+        const auto grant_lease = [&] {
+            auto lease = asio::co_spawn(io, store.grant_lease(1s), asio::use_future);
+            while (lease.wait_for(0s) != std::future_status::ready)
+                io.run_one();
+            return lease.get();
+        };
+        CPPUNIT_ASSERT(!grant_lease());
+        for (std::int64_t call = 2; call < 5; ++call) {
+            std::this_thread::sleep_for(60ms);
+            CPPUNIT_ASSERT(grant_lease() == call);
+        }
+    }
+
 private:
     std::unique_ptr<platform_site> site;
 };
