--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -33,8 +34,8 @@
 /// take the request says so within a few round trips, and two engines should not work on it for longer.
 constexpr milliseconds handover_time{250};
 
-/// Longest body of an engine's error response that is forwarded.
-constexpr std::size_t max_error_body_bytes = 64UL * 1024;
+/// Longest body of an engine's response that is forwarded and is no event stream.
+constexpr std::size_t max_plain_body_bytes = 64UL * 1024;
 
 /// Most calls per request: one set of sends for the prefill calls and one for the decode calls.
 constexpr int max_model_sends = 2 * max_sends;
@@ -45,6 +46,20 @@
     return std::max(std::chrono::duration_cast<milliseconds>(deadline - runtime_clock::now()), milliseconds{1});
 }
 
+bool is_event_stream(const http::response& head)
+{
+    constexpr unsigned status_ok = 200;
+    const std::string_view type = http::find_header(head.lines, "Content-Type");
+    return head.status == status_ok && (type.empty() || boost::algorithm::istarts_with(type, "text/event-stream"));
+}
+
+/// Returns whether the response ends with its connection.
+bool is_unframed(const http::response& head)
+{
+    return http::find_header(head.lines, "Content-Length").empty() &&
+           http::find_header(head.lines, "Transfer-Encoding").empty();
+}
+
 std::string ms_since(time_point start)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(runtime_clock::now() - start).count());
@@ -317,6 +332,8 @@
     http::call_options options;
     options.connect_timeout = std::min(connect_timeout, this->active.canceller.time_left());
     options.idle_timeout = std::min(timeout, this->active.canceller.time_left());
+    // A repeated answer to an earlier prefill call of this request would have its id.
+    options.fresh_connection = !this->called_prefill_engines.insert(target.incarnation()).second;
     options.abort = this->active.canceller.begin_call();
     options.is_matching_response = [this](const http::response& head) {
         return this->context.dialect.classify_answer(this->active.request, head) != answer_kind::wrong_request;
@@ -421,8 +438,8 @@
     }
     this->prefilled.reset();
     this->count_run(*call);
-    if (head.status >= min_failure_status)
-        co_return co_await this->handle_error_response(*call);
+    if (!is_event_stream(head))
+        co_return co_await this->handle_plain_response(*call);
     this->silent_call.reset();
     co_return co_await this->relay_stream(std::move(call));
 }
@@ -461,7 +478,7 @@
             co_return next_step::retry;
     }
     if (!std::exchange(call->is_relaying, true))
-        this->relay.discard_partial_event();
+        this->relay.begin_run();
     time_point last_progress_at = runtime_clock::now();
     while (true) {
         // Only whole events count as progress: an engine that stalls may still send comments or parts of an event.
@@ -474,11 +491,12 @@
         if (!chunk)
             co_return this->handle_failure(*call, chunk.error());
         const bool is_end = chunk->empty();
+        if (is_end && this->is_torn(stream.head()))
+            co_return this->handle_failure(
+                *call, error{error_kind::connection_lost, "the stream ended before or inside an event", ""});
         const int events_before = this->relay.event_count();
         std::string new_events = is_end ? this->relay.take_remainder() : this->relay.push(*chunk);
         call->load->add_tokens((this->relay.event_count() - events_before) * this->tokens_per_event());
-        if (this->relay.is_broken())
-            co_return this->handle_failure(*call, error{error_kind::protocol, "an event is too long", ""});
         if (!new_events.empty()) {
             if (!this->last_event_at)
                 this->context.suspects.record_answer_start(call->target.incarnation(),
@@ -489,6 +507,9 @@
             if (!is_written)
                 co_return next_step::retry;
         }
+        if (this->relay.is_broken())
+            co_return this->handle_failure(
+                *call, error{error_kind::protocol, "an event is malformed or too long, or does not follow", ""});
         if (is_end)
             break;
     }
@@ -501,13 +522,26 @@
     co_return next_step::done;
 }
 
-asio::awaitable<model_forwarder::next_step> model_forwarder::handle_error_response(engine_call& call)
+/// Returns whether a stream that ends here is incomplete. Framing does not tell: an engine that fails may still end its
+/// chunks. A stream that nothing but its connection delimits has to have an event.
+bool model_forwarder::is_torn(const http::response& head) const
 {
-    this->context.health.record_outcome(call.target.incarnation(), call_outcome::failed, runtime_clock::now());
-    if (this->active.matched_route.is_repeatable && this->run_count < this->active.matched_route.max_endpoints)
+    const bool has_events = this->relay.event_count() > 0 || this->relay.last_event_id();
+    return this->relay.has_partial_event() || (is_unframed(head) && !has_events);
+}
+
+/// Handles a response that is no event stream, usually an error. None of it may get into a stream that has begun.
+asio::awaitable<model_forwarder::next_step> model_forwarder::handle_plain_response(engine_call& call)
+{
+    const bool is_failure = call.stream->head().status >= min_failure_status || this->has_started_response;
+    this->context.health.record_outcome(
+        call.target.incarnation(), is_failure ? call_outcome::failed : call_outcome::answered, runtime_clock::now());
+    if (this->has_started_response || (is_failure && this->silent_call))
         co_return next_step::retry;
-    if (this->has_started_response || this->silent_call)
+    if (is_failure && this->active.matched_route.is_repeatable &&
+        this->run_count < this->active.matched_route.max_endpoints)
         co_return next_step::retry;
+    this->silent_call.reset();
     http::response answer = this->context.dialect.make_caller_head(call.stream->head());
     while (true) {
         auto chunk = co_await call.stream->next();
@@ -516,10 +550,10 @@
         if (chunk->empty())
             break;
         answer.body += *chunk;
-        if (answer.body.size() > max_error_body_bytes) {
+        if (answer.body.size() > max_plain_body_bytes) {
             const std::string size = std::to_string(answer.body.size());
             co_return this->handle_failure(
-                call, error{error_kind::protocol, "the error response has no end after " + size + " bytes", ""});
+                call, error{error_kind::protocol, "the response has no end after " + size + " bytes", ""});
         }
     }
     this->outcome.status = answer.status;
@@ -556,7 +590,8 @@
 bool model_forwarder::may_ask_another_engine(const engine_call& call) const
 {
     const unsigned runs = this->run_count + (call.is_counted ? 0 : 1);
-    return this->active.matched_route.is_repeatable && runs < this->active.matched_route.max_endpoints &&
+    return this->active.matched_route.is_repeatable && this->relay.can_resume() &&
+           runs < this->active.matched_route.max_endpoints &&
            this->decode_sends + this->prefill_sends < max_model_sends;
 }
 
@@ -631,6 +666,8 @@
         return error{error_kind::caller_gone, "the caller disconnected", ""};
     if (this->is_quarantined())
         return quarantine_error();
+    if (!this->relay.can_resume())
+        return error{error_kind::outcome_unknown, "the stream broke after an event without an id", ""};
     if (this->run_count > 0 && !this->active.matched_route.is_repeatable)
         return error{error_kind::outcome_unknown, "the engine's stream broke and may not be repeated", ""};
     if (this->run_count >= this->active.matched_route.max_endpoints)
--- a/src/forward/model_forwarder.h
+++ b/src/forward/model_forwarder.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -71,7 +72,8 @@
     boost::asio::awaitable<next_step> follow(std::unique_ptr<engine_call> call);
     boost::asio::awaitable<std::optional<error>> read_head(engine_call& call);
     boost::asio::awaitable<next_step> relay_stream(std::unique_ptr<engine_call> call);
-    boost::asio::awaitable<next_step> handle_error_response(engine_call& call);
+    bool is_torn(const http::response& head) const;
+    boost::asio::awaitable<next_step> handle_plain_response(engine_call& call);
     next_step handle_failure(engine_call& call, const error& reason);
     void count_run(engine_call& call);
     bool may_ask_another_engine(const engine_call& call) const;
@@ -90,6 +92,7 @@
     forward_context& context;
     active_request active;
     excluded_endpoints excluded_engines;
+    std::set<std::string> called_prefill_engines;
     event_relay relay;
     request_outcome outcome;
     std::optional<time_point> last_event_at;
