Leave a silent engine only for one that has accepted the request, and a slow one for good

What callers would see: streams that are still cut with time left, and streams at slow engines that miss their deadline beside a free fast one.

Cause: the silent engine was closed 250 ms after the next one was called, even if it went on meanwhile or the other one then said that it was full; an engine that had rejected a stream was never asked again; any byte of the silent engine counted as its return, so that each pause of a slow or dripping engine cost a prefill for nothing; prefill results were dropped without a release; and a stream that may not retry kept its place at the other engine.

Change: while another engine is called, the silent one is watched and the stream returns to it when it goes on. When its run has been ended all the same, it may be asked again, as may engines that were full, at the next silence. An engine that falls silent a second time is left for good as soon as another one takes the request. Prefill results are dropped only by the call that hands them over and released otherwise. Reserved places are given back before a stream waits without budget. One pause counts once in the engine's health.

--- a/src/forward/capacity_wait.cpp
+++ b/src/forward/capacity_wait.cpp
@@ -94,10 +94,6 @@
         const time_point now = runtime_clock::now();
         if (const lateness late = deadlines.lateness_at(now); late != entry.rank.late)
             entry = queue.update_lateness(entry, late);
-        if (!is_needed()) {
-            failure = selection_failure::not_needed;
-            break;
-        }
         if (context.stop_deadline && now + deadlines.serving_time >= *context.stop_deadline) {
             failure = selection_failure::host_stopping;
             break;
@@ -109,6 +105,10 @@
             selection.reserved_slots += context.load.count_peer_heads_ahead({active.service, entry.rank}, now);
             failure = select(selection);
         }
+        if (failure && !is_needed()) {
+            failure = selection_failure::not_needed;
+            break;
+        }
         if (!failure || *failure == selection_failure::no_endpoint || now >= deadlines.give_up_at ||
             active.canceller.is_caller_disconnected() || active.canceller.time_left() < min_forward_time)
             break;
--- a/src/forward/engine_call.h
+++ b/src/forward/engine_call.h
@@ -17,11 +17,15 @@
     /// Ends the call when the caller disconnects or the deadline passes.
     std::shared_ptr<http::call_abort> abort;
     time_point sent_at;
+    /// The call hands a prefill result over, which is kept until the engine has taken it.
+    bool uses_prefill = false;
     bool has_head = false;
     /// The relay has got bytes of this call, which go on after them.
     bool is_relaying = false;
     /// The engine is counted among those that ran the request.
     bool is_counted = false;
+    /// How often the engine has fallen silent.
+    int silences = 0;
 };
 
 } // namespace radishstep::forward
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -33,6 +33,8 @@
 /// How long a silent engine may still work on a request after another engine was called for it: an engine that cannot
 /// take the request says so within a few round trips, and two engines should not work on it for longer.
 constexpr milliseconds handover_time{250};
+/// How often it is checked meanwhile whether the silent engine goes on.
+constexpr milliseconds handover_poll_interval{20};
 
 /// Longest body of an engine's response that is forwarded and is no event stream.
 constexpr std::size_t max_plain_body_bytes = 64UL * 1024;
@@ -98,7 +100,7 @@
         if (reason && !this->may_await_silent_engine())
             break;
         next_step next = next_step::retry;
-        if (reason || this->has_silent_engine_resumed()) {
+        if (reason || this->must_return_to_silent_engine()) {
             next = co_await this->resume_silent_call();
         } else {
             auto reserved = co_await this->wait_for_reservation();
@@ -237,7 +239,7 @@
     if (reserved.engines.prefill) {
         const endpoint prefill_engine = *reserved.engines.prefill;
         if (!this->try_spend_retry_budget(this->delivered_prefill_calls))
-            co_return co_await this->stop_without_budget();
+            co_return co_await this->stop_without_budget(reserved);
         const bool is_prefilled = co_await this->run_prefill(prefill_engine);
         reserved.prefill_load->end();
         if (!is_prefilled) {
@@ -245,12 +247,13 @@
             co_return next_step::retry;
         }
     }
-    if (this->active.canceller.is_caller_disconnected() || this->has_silent_engine_resumed() || this->is_quarantined())
+    if (this->active.canceller.is_caller_disconnected() || this->must_return_to_silent_engine() ||
+        this->is_quarantined())
         co_return next_step::retry;
     if (!this->confirm_decode_engine(reserved))
         co_return next_step::retry;
     if (!this->try_spend_retry_budget(this->delivered_decode_calls))
-        co_return co_await this->stop_without_budget();
+        co_return co_await this->stop_without_budget(reserved);
     co_return co_await this->run_decode(reserved);
 }
 
@@ -392,6 +395,7 @@
     ++this->decode_sends;
     this->outcome.endpoint = call->target.id;
     this->excluded_engines.insert(call->target.incarnation());
+    call->uses_prefill = this->prefilled.has_value();
     http::request request = this->make_decode_call(call->target);
     auto stream = co_await this->context.http_client.send(call->target.address, std::move(request), std::move(options));
     this->record_delivery_or_refund(this->delivered_decode_calls,
@@ -409,6 +413,12 @@
     if (call->has_head)
         co_return co_await this->relay_stream(std::move(call));
     const auto failure = co_await this->read_head(*call);
+    if (failure && this->must_return_to_silent_engine()) {
+        // This call may run, so it ends here.
+        this->end_prefill_use(*call);
+        this->count_run(*call);
+        co_return next_step::retry;
+    }
     if (failure && failure->kind == error_kind::timed_out && this->may_ask_another_engine(*call))
         co_return this->leave_silent(std::move(call));
     if (failure)
@@ -421,22 +431,23 @@
     switch (this->context.dialect.classify_answer(this->active.request, head)) {
     case answer_kind::not_executed:
         this->context.health.record_outcome(incarnation, call_outcome::rejected, now);
-        if (call->is_counted)
-            --this->run_count;
+        this->discount_run(*call);
+        this->rejecting_engines.insert(incarnation);
         co_return next_step::retry;
     case answer_kind::wrong_endpoint:
         this->context.mark_down(incarnation);
+        this->discount_run(*call);
         co_return next_step::retry;
     case answer_kind::wrong_request:
     case answer_kind::unverified:
-        this->prefilled.reset();
+        this->end_prefill_use(*call);
         this->count_run(*call);
         this->context.health.record_outcome(incarnation, call_outcome::failed, now);
         co_return next_step::retry;
     case answer_kind::executed:
         break;
     }
-    this->prefilled.reset();
+    this->end_prefill_use(*call);
     this->count_run(*call);
     if (!is_event_stream(head))
         co_return co_await this->handle_plain_response(*call);
@@ -448,13 +459,20 @@
 asio::awaitable<std::optional<error>> model_forwarder::read_head(engine_call& call)
 {
     const time_point deadline = this->active.canceller.deadline();
-    if (this->silent_call) {
-        call.stream->set_read_timeout(std::min(handover_time, time_until(deadline)));
+    const time_point handover_end = std::min(runtime_clock::now() + handover_time, deadline);
+    while (this->silent_call && runtime_clock::now() < handover_end) {
+        call.stream->set_read_timeout(std::min(handover_poll_interval, time_until(handover_end)));
         const auto read = co_await call.stream->read_head();
         if (read)
             co_return std::nullopt;
         if (read.error().kind != error_kind::timed_out)
             co_return read.error();
+        if (this->must_return_to_silent_engine())
+            co_return error{error_kind::timed_out, "the silent engine went on first", ""};
+    }
+    if (this->silent_call) {
+        // Its run ends here, so it may be asked again if the other engine rejects the call.
+        this->excluded_engines.erase(this->silent_call->target.incarnation());
         this->silent_call.reset();
     }
     const bool may_ask_another = this->may_ask_another_engine(call);
@@ -561,6 +579,20 @@
     co_return next_step::done;
 }
 
+/// Drops the prefill result that a call has handed over.
+void model_forwarder::end_prefill_use(engine_call& call)
+{
+    if (std::exchange(call.uses_prefill, false))
+        this->prefilled.reset();
+}
+
+/// Corrects the count for an engine that was silent and then said that it does not run the request.
+void model_forwarder::discount_run(engine_call& call)
+{
+    if (std::exchange(call.is_counted, false))
+        --this->run_count;
+}
+
 void model_forwarder::count_run(engine_call& call)
 {
     if (!std::exchange(call.is_counted, true))
@@ -570,7 +602,7 @@
 model_forwarder::next_step model_forwarder::handle_failure(engine_call& call, const error& reason)
 {
     if (may_have_arrived(reason.kind)) {
-        this->prefilled.reset();
+        this->end_prefill_use(call);
         this->count_run(call);
     }
     log_decision("stream_broken", {{"request", this->active.request.id},
@@ -598,18 +630,29 @@
 /// Keeps the call of a silent engine open, so that its answer can go on if no other engine takes the request.
 model_forwarder::next_step model_forwarder::leave_silent(std::unique_ptr<engine_call> call)
 {
-    this->prefilled.reset();
+    this->end_prefill_use(*call);
     this->count_run(*call);
+    ++call->silences;
     count("radishstep_forward_engine_silences_total");
     log_decision("engine_silent", {{"request", this->active.request.id},
                                    {"endpoint", call->target.id},
                                    {"events", std::to_string(this->relay.event_count())},
                                    {"left_ms", std::to_string(this->active.canceller.time_left().count())}});
-    this->context.record_call_failure(call->target.incarnation(), error_kind::timed_out);
+    this->forget_rejections();
+    if (call->silences == 1)
+        this->context.record_call_failure(call->target.incarnation(), error_kind::timed_out);
     this->silent_call = std::move(call);
     return next_step::retry;
 }
 
+/// Lets the engines that rejected the request be asked again: they may have room by now.
+void model_forwarder::forget_rejections()
+{
+    for (const std::string& incarnation : this->rejecting_engines)
+        this->excluded_engines.erase(incarnation);
+    this->rejecting_engines.clear();
+}
+
 bool model_forwarder::may_await_silent_engine() const
 {
     return this->silent_call && !this->active.canceller.is_caller_disconnected() &&
@@ -621,20 +664,31 @@
     return this->silent_call && this->silent_call->stream->has_unread_bytes();
 }
 
+/// Returns whether the stream stays with its engine, which was silent, although another one may be at hand. An engine
+/// that falls silent again is left: it is slow, and each engine that is asked for nothing costs a prefill.
+bool model_forwarder::must_return_to_silent_engine() const
+{
+    return this->has_silent_engine_resumed() && this->silent_call->silences == 1;
+}
+
 asio::awaitable<model_forwarder::next_step> model_forwarder::resume_silent_call()
 {
+    this->release_prefill();
     std::unique_ptr<engine_call> call = std::move(this->silent_call);
     this->active.canceller.resume_call(call->abort);
     this->outcome.endpoint = call->target.id;
     co_return co_await this->follow(std::move(call));
 }
 
-/// Ends the request, or waits for a silent engine: it may go on, or the budget may allow a call later.
-asio::awaitable<model_forwarder::next_step> model_forwarder::stop_without_budget()
+/// Ends the request, or gives the reserved capacity back and waits for a silent engine: it may go on, or the budget may
+/// allow a call later.
+asio::awaitable<model_forwarder::next_step> model_forwarder::stop_without_budget(reservation& reserved)
 {
     if (!this->may_await_silent_engine())
         co_return next_step::done;
     this->budget_error.reset();
+    reserved.prefill_load.reset();
+    reserved.decode_load.reset();
     co_return co_await this->resume_silent_call();
 }
 
@@ -643,6 +697,7 @@
     if (!this->has_prefilled_prompt())
         return;
     const prefill_result result = this->prefilled->result;
+    this->prefilled.reset();
     asio::co_spawn(
         this->context.executor,
         send_release_call(this->context.http_client, result.address, this->context.dialect.make_release_call(result)),
--- a/src/forward/model_forwarder.h
+++ b/src/forward/model_forwarder.h
@@ -76,12 +76,16 @@
     boost::asio::awaitable<next_step> handle_plain_response(engine_call& call);
     next_step handle_failure(engine_call& call, const error& reason);
     void count_run(engine_call& call);
+    void discount_run(engine_call& call);
     bool may_ask_another_engine(const engine_call& call) const;
     next_step leave_silent(std::unique_ptr<engine_call> call);
+    void forget_rejections();
     bool may_await_silent_engine() const;
     bool has_silent_engine_resumed() const;
+    bool must_return_to_silent_engine() const;
     boost::asio::awaitable<next_step> resume_silent_call();
-    boost::asio::awaitable<next_step> stop_without_budget();
+    boost::asio::awaitable<next_step> stop_without_budget(reservation& reserved);
+    void end_prefill_use(engine_call& call);
     void release_prefill();
     bool try_spend_retry_budget(int delivered_calls);
     void record_delivery_or_refund(int& delivered_calls, bool is_delivered);
@@ -92,6 +96,8 @@
     forward_context& context;
     active_request active;
     excluded_endpoints excluded_engines;
+    /// Those of the excluded engines that were full.
+    excluded_endpoints rejecting_engines;
     std::set<std::string> called_prefill_engines;
     event_relay relay;
     request_outcome outcome;
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -194,7 +194,9 @@
     if (is_misdirected || (is_prefill && this->phase != "prefill") || (!is_prefill && this->phase == "prefill")) {
         co_return co_await caller.write(misdirected_response(request));
     }
-    if (active_fault == engine_fault::shed) {
+    if (active_fault == engine_fault::late_shed)
+        co_await pause_for(milliseconds{500});
+    if (active_fault == engine_fault::shed || active_fault == engine_fault::late_shed) {
         http::headers lines = this->response_headers(call);
         lines.push_back({"Not-Executed", "1"});
         co_return co_await caller.write(http_answer(status_unavailable, lines, ""));
@@ -364,8 +366,10 @@
             co_return false;
         }
         constexpr int events_before_pause = 3;
-        if (this->current_fault() == engine_fault::pausing_stream && number == start + events_before_pause + 1) {
-            co_await pause_for(stream_pause);
+        const bool is_short = this->current_fault() == engine_fault::short_pause;
+        const bool has_pause = is_short || this->current_fault() == engine_fault::pausing_stream;
+        if (has_pause && number == start + events_before_pause + 1) {
+            co_await pause_for(is_short ? milliseconds{1'350} : stream_pause);
             if (caller.is_closed_by_peer()) {
                 this->mark_caller_disconnected(call);
                 co_return false;
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -51,6 +51,10 @@
     pausing_stream,
     /// A stream's head comes after standin_engine::stream_pause.
     late_head,
+    /// Like pausing_stream, with a pause of 1,350 ms: the engine goes on while another one is being called.
+    short_pause,
+    /// The engine is full and says so 500 ms after the call.
+    late_shed,
 };
 
 /// A call that an engine received.
--- a/tests/platform/test_silent_engines.cpp
+++ b/tests/platform/test_silent_engines.cpp
@@ -1,6 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <future>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
@@ -22,21 +24,44 @@
     CPPUNIT_TEST(stream_stays_with_its_silent_engine_if_the_other_is_full);
     CPPUNIT_TEST(stream_stays_with_its_silent_engine_if_the_retry_budget_is_spent);
     CPPUNIT_TEST(late_head_of_the_only_engine_is_awaited);
+    CPPUNIT_TEST(stream_survives_an_engine_that_rejects_it_late);
+    CPPUNIT_TEST(stream_stays_with_an_engine_that_goes_on_while_another_is_called);
+    CPPUNIT_TEST(silent_stream_asks_a_full_engine_again);
+    CPPUNIT_TEST(silent_stream_without_budget_reserves_nothing);
+    CPPUNIT_TEST(slow_stream_leaves_its_engine_for_a_fast_one);
+    CPPUNIT_TEST(dripping_stream_leaves_its_engine_after_one_prefill_for_nothing);
     CPPUNIT_TEST(stream_leaves_an_engine_that_stays_silent);
     CPPUNIT_TEST(caller_that_leaves_a_silent_stream_ends_its_run);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void start(int decode_engines, engine_fault fault, int retry_slack = 20)
+    void start(int decode_engines, engine_fault fault, int retry_slack = 20, int prefill_engines = 0)
     {
-        this->site = std::make_unique<platform_site>(0, 0, decode_engines);
+        this->site = std::make_unique<platform_site>(0, prefill_engines, decode_engines);
         this->site->set_retry_slack(retry_slack);
-        for (const auto& [id, engine] : this->site->engines)
-            engine->set_fault(fault);
+        for (const auto& [id, engine] : this->site->engines) {
+            if (id.starts_with("d"))
+                engine->set_fault(fault);
+        }
         this->site->start_gateway();
         CPPUNIT_ASSERT(this->site->wait_until_ready());
     }
 
+    /// Waits until one of two engines runs a stream and returns the other one.
+    standin_engine& idle_engine()
+    {
+        standin_engine& first = this->site->engine("d0");
+        standin_engine& second = this->site->engine("d1");
+        CPPUNIT_ASSERT(wait_until([&] { return first.runs() + second.runs() > 0; }));
+        return first.runs() > 0 ? second : first;
+    }
+
+    int prefill_calls(const std::string& kind)
+    {
+        const auto calls = this->site->engine("r0").calls();
+        return static_cast<int>(std::ranges::count(calls, kind, &engine_call::kind));
+    }
+
     void tearDown() override { this->site.reset(); }
 
     std::future<site_response> send(const std::string& id, milliseconds disconnect_after = 0ms)
@@ -102,6 +127,96 @@
         this->check_whole("attempt-1", this->send("attempt-1").get());
     }
 
+    // Guards against streams that are cut because the engine that they were to go on at was full and said so late.
+    void stream_survives_an_engine_that_rejects_it_late()
+    {
+        this->start(2, engine_fault::pausing_stream);
+        auto response = this->send("attempt-1");
+        this->idle_engine().set_fault(engine_fault::late_shed);
+        this->check_whole("attempt-1", response.get());
+    }
+
+    // Guards against streams that lose an engine that works again to one that then rejects them.
+    void stream_stays_with_an_engine_that_goes_on_while_another_is_called()
+    {
+        this->start(2, engine_fault::short_pause);
+        auto response = this->send("attempt-1");
+        standin_engine& other = this->idle_engine();
+        other.set_fault(engine_fault::late_shed);
+        this->check_whole("attempt-1", response.get());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other.calls().size());
+        CPPUNIT_ASSERT_EQUAL(1, this->site->engine("d0").runs() + this->site->engine("d1").runs());
+    }
+
+    // Guards against streams that wait to their deadline beside an engine that has had room for long.
+    void silent_stream_asks_a_full_engine_again()
+    {
+        this->start(2, engine_fault::never_answers);
+        auto response = this->send("attempt-1");
+        standin_engine& other = this->idle_engine();
+        other.set_fault(engine_fault::shed);
+        std::this_thread::sleep_for(2s);
+        other.set_fault(engine_fault::none);
+        this->check_whole("attempt-1", response.get());
+    }
+
+    // Guards against places that silent streams take up at engines that they may not call.
+    void silent_stream_without_budget_reserves_nothing()
+    {
+        this->start(2, engine_fault::pausing_stream, 0);
+        this->site->engine("d0").set_work_time(500ms);
+        this->site->engine("d1").set_work_time(500ms);
+        std::vector<std::future<site_response>> running;
+        // The engines have room for six streams each.
+        for (int i = 0; i < 8; ++i) {
+            running.push_back(this->send("attempt-" + std::to_string(i)));
+            std::this_thread::sleep_for(30ms);
+        }
+        std::this_thread::sleep_for(3'900ms);
+        const time_point sent_at = runtime_clock::now();
+        auto late = this->send("late");
+        const auto has_arrived = [this] {
+            for (const char* id : {"d0", "d1"}) {
+                const auto calls = this->site->engine(id).calls();
+                if (std::ranges::find(calls, "late", &engine_call::id) != calls.end())
+                    return true;
+            }
+            return false;
+        };
+        CPPUNIT_ASSERT(wait_until(has_arrived));
+        CPPUNIT_ASSERT(runtime_clock::now() - sent_at < 500ms);
+        running.push_back(std::move(late));
+        for (auto& response : running)
+            response.get();
+    }
+
+    // Guards against streams that stay at a slow engine and buy a prefill at each pause.
+    void slow_stream_leaves_its_engine_for_a_fast_one()
+    {
+        this->start(2, engine_fault::none, 20, 1);
+        this->site->engine("r0").set_work_time(400ms);
+        this->site->engine("d0").set_work_time(1'500ms);
+        this->site->engine("d1").set_work_time(1'500ms);
+        auto response = this->send("attempt-1");
+        this->idle_engine().set_work_time(0ms);
+        this->check_whole("attempt-1", response.get());
+        CPPUNIT_ASSERT(this->prefill_calls("prefill") <= 3);
+        // Each prefill result is either handed over or released.
+        CPPUNIT_ASSERT(
+            wait_until([this] { return this->prefill_calls("prefill") == this->prefill_calls("release") + 2; }));
+    }
+
+    // Guards against a comment now and then that counts as the engine's return.
+    void dripping_stream_leaves_its_engine_after_one_prefill_for_nothing()
+    {
+        this->start(2, engine_fault::dripping_stream, 20, 1);
+        this->site->engine("r0").set_work_time(250ms);
+        auto response = this->send("attempt-1");
+        this->idle_engine().set_fault(engine_fault::none);
+        this->check_whole("attempt-1", response.get());
+        CPPUNIT_ASSERT(this->prefill_calls("prefill") <= 3);
+    }
+
     // Guards against patience with an engine that never goes on while another one is free.
     void stream_leaves_an_engine_that_stays_silent()
     {
