Test that load reports of earlier versions are still read

The new last fields of a load report are missing in reports of hosts that run an earlier version during a release.

--- a/tests/forward/test_watches_and_reports.cpp
+++ b/tests/forward/test_watches_and_reports.cpp
@@ -8,6 +8,8 @@
 #include "forward/load_report_exchange.h"
 #include "keyvalue/watched_prefix.h"
 #include "reserved_address.h"
+#include "wire/codec.h"
+#include "wire/generated/radishstep_types.h"
 
 namespace {
 
@@ -82,6 +84,7 @@
     CPPUNIT_TEST(unavailable_store_is_polled_rarely);
     CPPUNIT_TEST(retry_now_ends_the_backoff);
     CPPUNIT_TEST(reporting_host_is_a_peer_before_the_host_list_names_it);
+    CPPUNIT_TEST(report_without_crash_records_is_read);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -124,6 +127,22 @@
         }
     }
 
+    // A host of an earlier version leaves out the last two fields.
+    void report_without_crash_records_is_read()
+    {
+        wire::LoadReport report;
+        report.host = "older";
+        report.sequence = 7;
+        const std::string empty_records{"\x19\x0c\x19\x0c\x00", 5};
+        std::string bytes = wire::encode(report);
+        CPPUNIT_ASSERT(bytes.ends_with(empty_records));
+        bytes.resize(bytes.size() - empty_records.size());
+        bytes.push_back('\0');
+        const auto decoded = wire::decode_load_report(bytes);
+        CPPUNIT_ASSERT(decoded.has_value());
+        CPPUNIT_ASSERT(*decoded == report);
+    }
+
     void missed_change_is_fetched_by_a_new_watch()
     {
         this->store.misses_changes = true;
