--- a/src/forward/crash_suspects.cpp
+++ b/src/forward/crash_suspects.cpp
@@ -270,12 +270,12 @@
         std::erase_if(crashed, [&](const crash_record* record) { return record->crashed_at <= start->second.last_at; });
     if (crashed.empty())
         return std::nullopt;
-    const int allowed = has_started ? max_crashes_of_started_part : max_crashes;
+    const int needed = has_started ? crashes_to_quarantine_started_part : crashes_to_quarantine;
     const int crashes = count_crashes(crashed);
-    if (crashes < allowed)
+    if (crashes < needed)
         return std::nullopt;
     part_quarantine verdict{part, common_parts(crashed), crashes,
-                            crashed.back()->crashed_at + quarantine_length(crashes - allowed), crashed.back()->seen_by};
+                            crashed.back()->crashed_at + quarantine_length(crashes - needed), crashed.back()->seen_by};
     std::erase_if(verdict.combination, [&](const std::string& other) {
         const auto other_start = this->starts.find(other);
         return other_start != this->starts.end() && other_start->second.last_at > crashed.front()->crashed_at;
--- a/src/forward/crash_suspects.h
+++ b/src/forward/crash_suspects.h
@@ -56,10 +56,10 @@
 {
 public:
     /// Crashes without a started answer after which a part is quarantined.
-    static constexpr int max_crashes = 2;
+    static constexpr int crashes_to_quarantine = 2;
     /// The same for a part with which answers have started lately: several endpoints may fail at once for another
     /// reason.
-    static constexpr int max_crashes_of_started_part = 3;
+    static constexpr int crashes_to_quarantine_started_part = 3;
     /// Crashes closer together count as one, such as those of a rack that loses power.
     static constexpr milliseconds min_crash_interval{200};
     /// How long a lost request waits for evidence that its endpoint crashed, rather than one connection: an endpoint
