--- a/src/forward/load_report_exchange.cpp
+++ b/src/forward/load_report_exchange.cpp
@@ -234,6 +234,8 @@
         row.age_ms = static_cast<std::int32_t>(to_ms(now - start.started_at));
         report.started.push_back(std::move(row));
     }
+    report.__isset.crashed = !report.crashed.empty();
+    report.__isset.started = !report.started.empty();
 }
 
 void load_report_exchange::apply_crash_records(const wire::LoadReport& report, time_point now)
--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -206,7 +206,7 @@
   5: list<DownEndpoint> down
   7: bool is_partial
   8: list<SeenChange> seen
-  // Both observed by the host itself.
-  9: list<CrashedRequest> crashed
-  10: list<StartedPart> started
+  // Both observed by the host itself; left out when empty.
+  9: optional list<CrashedRequest> crashed
+  10: optional list<StartedPart> started
 }
