--- a/tests/forward/test_watches_and_reports.cpp
+++ b/tests/forward/test_watches_and_reports.cpp
@@ -8,6 +8,8 @@
 #include "forward/load_report_exchange.h"
 #include "keyvalue/watched_prefix.h"
 #include "reserved_address.h"
+#include "wire/codec.h"
+#include "wire/generated/radishstep_types.h"
 
 namespace {
 
@@ -83,6 +85,7 @@
     CPPUNIT_TEST(retry_now_ends_the_backoff);
     CPPUNIT_TEST(reporting_host_is_a_peer_before_the_host_list_names_it);
     CPPUNIT_TEST(host_that_cannot_be_sent_reports_is_no_peer);
+    CPPUNIT_TEST(report_without_crash_records_is_read);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -125,6 +128,23 @@
         }
     }
 
+    // A host of an earlier version leaves out the last two fields.
+    void report_without_crash_records_is_read()
+    {
+        wire::LoadReport report;
+        report.host = "older";
+        report.sequence = 7;
+        // Absent fields cost no bytes, so the report is the older one.
+        const std::string bytes = wire::encode(report);
+        report.__set_crashed({});
+        report.__set_started({});
+        CPPUNIT_ASSERT(wire::encode(report).size() > bytes.size());
+        const auto decoded = wire::decode_load_report(bytes);
+        CPPUNIT_ASSERT(decoded.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"older"}, decoded->host);
+        CPPUNIT_ASSERT(decoded->crashed.empty() && decoded->started.empty());
+    }
+
     void missed_change_is_fetched_by_a_new_watch()
     {
         this->store.misses_changes = true;
