Apply raised limits to the next request of an idle connection

What callers would see: after a configuration has raised the size limits, the first larger request on a connection that was idle meanwhile is refused with 413, and since its rest is unread the connection is reset, which may take the refusal with it: beside a change of the configuration, a whole request gets neither an answer nor a refusal.

Cause: the limits were read before the connection waited for its next request, and the read buffer kept the size of the time at which the connection was opened.

Change: both follow the limits in force when a request's first bytes arrive.

raised_limits_apply_to_the_next_request_of_an_idle_connection failed before with 'HTTP/1.1 413 Payload Too Large'.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -216,11 +216,13 @@
 
     asio::awaitable<bool> serve_request()
     {
+        if (this->buffer.size() == 0 && co_await this->read_first_bytes())
+            co_return false;
+        // The limits may have changed while the connection was idle.
         parser_type parser;
         parser.header_limit(static_cast<std::uint32_t>(this->state->limits.header_bytes));
         parser.body_limit(this->state->limits.body_bytes);
-        if (this->buffer.size() == 0 && co_await this->read_first_bytes())
-            co_return false;
+        this->buffer.max_size(std::max(this->state->limits.header_bytes + read_buffer_bytes, this->buffer.size()));
         const request_count counted{this->state->requests};
         const error_code failure = co_await this->read_request(parser);
         if (failure) {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -64,8 +64,8 @@
     /// yet.
     void close_idle();
 
-    /// Replaces the limits. A connection reads the size limits when it starts to wait for a request, and each
-    /// timeout when the step that it bounds begins.
+    /// Replaces the limits. A connection reads the size limits when a request's first bytes have arrived, and
+    /// each timeout when the step that it bounds begins.
     void set_limits(server_limits limits);
 
     /// Returns the number of requests that are being read or handled.
--- a/tests/unit/test_http_server.cpp
+++ b/tests/unit/test_http_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -105,6 +106,15 @@
             limits.idle_timeout = std::chrono::milliseconds{50};
             this->server->set_limits(limits);
         }
+        if (incoming.path() == "/raise-limits-while-idle") {
+            // Runs when the connection waits for its next request.
+            asio::post(this->context, [this] {
+                http::server_limits limits;
+                limits.body_bytes = 200'000;
+                limits.header_bytes = 100'000;
+                this->server->set_limits(limits);
+            });
+        }
     }
 
     asio::io_context context{1};
@@ -129,6 +139,7 @@
     CPPUNIT_TEST(caller_disconnect_runs_hook_once);
     CPPUNIT_TEST(answers_tell_how_long_an_idle_connection_stays_open);
     CPPUNIT_TEST(announced_idle_time_outlasts_a_lower_limit);
+    CPPUNIT_TEST(raised_limits_apply_to_the_next_request_of_an_idle_connection);
     CPPUNIT_TEST_SUITE_END();
 
     void malformed_request_is_refused_with_400_and_not_handled()
@@ -207,6 +218,19 @@
                                        "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
         CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
     }
+
+    // Guards against a refusal, or a reset without one, of a request that a new configuration allows.
+    void raised_limits_apply_to_the_next_request_of_an_idle_connection()
+    {
+        test_server running;
+        constexpr std::size_t header_bytes = 80'000;
+        constexpr std::size_t body_bytes = 150'000;
+        const std::string answer = running.answer_after_pause(
+            "GET /raise-limits-while-idle HTTP/1.1\r\n\r\n", std::chrono::milliseconds{100},
+            "POST / HTTP/1.1\r\nConnection: close\r\nX: " + std::string(header_bytes, 'x') +
+                "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'x'));
+        CPPUNIT_ASSERT_MESSAGE(answer.substr(0, 200), answer.starts_with("HTTP/1.1 200"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_http_server);
