Bound header lines to what the HTTP library can store

What callers would see: with a configuration that allows headers of more than 64 KiB, one caller with such a line ends the process, and every request on the host with it.

Cause: the library throws std::length_error for a longer header line, where no caller of it can catch it.

Change: headers are limited to 60 KiB, whatever the configuration allows.

header_line_that_cannot_be_stored_is_refused aborted before; unit_tests (101) pass three times in a row.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -49,6 +49,9 @@
 /// Size of the read buffer beyond the longest header. Bounded, since a chunk header without end would fill it.
 constexpr std::size_t read_buffer_bytes = 64UL * 1024;
 
+/// Longest header, whatever the limits allow: the HTTP library cannot store lines of 64 KiB and ends the process.
+constexpr std::size_t max_header_bytes = 60UL * 1024;
+
 /// How long a connection without a request stays open while the server drains: a caller that has just connected sends
 /// its request at once.
 constexpr milliseconds draining_idle_timeout{500};
@@ -220,9 +223,10 @@
             co_return false;
         // The limits may have changed while the connection was idle.
         parser_type parser;
-        parser.header_limit(static_cast<std::uint32_t>(this->state->limits.header_bytes));
+        const std::size_t header_bytes = std::min(this->state->limits.header_bytes, max_header_bytes);
+        parser.header_limit(static_cast<std::uint32_t>(header_bytes));
         parser.body_limit(this->state->limits.body_bytes);
-        this->buffer.max_size(std::max(this->state->limits.header_bytes + read_buffer_bytes, this->buffer.size()));
+        this->buffer.max_size(std::max(header_bytes + read_buffer_bytes, this->buffer.size()));
         const request_count counted{this->state->requests};
         const error_code failure = co_await this->read_request(parser);
         if (failure) {
--- a/tests/unit/test_http_server.cpp
+++ b/tests/unit/test_http_server.cpp
@@ -140,6 +140,7 @@
     CPPUNIT_TEST(answers_tell_how_long_an_idle_connection_stays_open);
     CPPUNIT_TEST(announced_idle_time_outlasts_a_lower_limit);
     CPPUNIT_TEST(raised_limits_apply_to_the_next_request_of_an_idle_connection);
+    CPPUNIT_TEST(header_line_that_cannot_be_stored_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
     void malformed_request_is_refused_with_400_and_not_handled()
@@ -223,7 +224,7 @@
     void raised_limits_apply_to_the_next_request_of_an_idle_connection()
     {
         test_server running;
-        constexpr std::size_t header_bytes = 80'000;
+        constexpr std::size_t header_bytes = 50'000;
         constexpr std::size_t body_bytes = 150'000;
         const std::string answer = running.answer_after_pause(
             "GET /raise-limits-while-idle HTTP/1.1\r\n\r\n", std::chrono::milliseconds{100},
@@ -231,6 +232,17 @@
                 "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'x'));
         CPPUNIT_ASSERT_MESSAGE(answer.substr(0, 200), answer.starts_with("HTTP/1.1 200"));
     }
+
+    // Guards against a process that ends because of a header line that a configuration allows.
+    void header_line_that_cannot_be_stored_is_refused()
+    {
+        test_server running;
+        constexpr std::size_t header_bytes = 80'000;
+        const std::string answer = running.answer_after_pause(
+            "GET /raise-limits-while-idle HTTP/1.1\r\n\r\n", std::chrono::milliseconds{100},
+            "GET / HTTP/1.1\r\nConnection: close\r\nX: " + std::string(header_bytes, 'x') + "\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(answer.substr(0, 200), answer.starts_with("HTTP/1.1 413"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_http_server);
