Serve each request with the configuration that it arrived under

What callers would see: beside a configuration that drops a service, streams that are still served there and have to go on at another engine wait until one is idle, or end at their deadline.

Cause: the forwarder looked the service up in the newest configuration; without it the KV cache of each engine counts as 0 tokens, so that every engine in use is full.

Change: a request keeps the configuration that holds its route.

stream_goes_on_beside_another_one_when_a_configuration_drops_its_service failed before: no run at the other engine within 1 s of the break.

--- a/src/forward/forward_server.cpp
+++ b/src/forward/forward_server.cpp
@@ -117,7 +117,7 @@
         parsed->patience ? std::min(*parsed->patience, matched_route->timeout) : matched_route->timeout;
     const auto canceller = call_canceller::start(this->context.executor, caller, arrived_at + timeout);
     this->context.budget.record_request(service, arrived_at);
-    const active_request active{*parsed, *matched_route, service, caller, *canceller, arrived_at};
+    const active_request active{*parsed, *config, *matched_route, service, caller, *canceller, arrived_at};
     request_outcome outcome;
     if (matched_route->is_model) {
         model_forwarder forwarder{this->context, active};
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -128,7 +128,7 @@
 
 model_demand model_forwarder::demand() const
 {
-    const service* service_config = this->context.config->find_service(this->active.service);
+    const service* service_config = this->active.config.find_service(this->active.service);
     model_demand needed;
     needed.service = this->active.service;
     needed.prompt_tokens = this->active.request.prompt_tokens;
@@ -219,7 +219,7 @@
 
 std::int64_t model_forwarder::tokens_per_event() const
 {
-    const service* service_config = this->context.config->find_service(this->active.service);
+    const service* service_config = this->active.config.find_service(this->active.service);
     return service_config == nullptr ? 1 : service_config->tokens_per_event;
 }
 
@@ -372,7 +372,7 @@
     this->context.health.record_outcome(target.incarnation(), call_outcome::answered, now);
     this->context.health.record_slowdown(target.incarnation(), to_ms(now - sent_at) / to_ms(expected_without_slowdown),
                                          now);
-    const service* service_config = this->context.config->find_service(this->active.service);
+    const service* service_config = this->active.config.find_service(this->active.service);
     const milliseconds lifetime = service_config == nullptr ? milliseconds{0} : service_config->prefill_lifetime;
     this->prefilled = prefilled_prompt{std::move(*result), target.zone, now + lifetime - prefill_fetch_margin};
     co_return true;
--- a/src/forward/plain_forwarder.h
+++ b/src/forward/plain_forwarder.h
@@ -14,6 +14,8 @@
 struct active_request
 {
     const caller_request& request;
+    /// The configuration in force when the request arrived, which holds its route.
+    const forward_config& config;
     const route& matched_route;
     const std::string& service;
     http::reply& caller;
--- a/tests/platform/platform_site.cpp
+++ b/tests/platform/platform_site.cpp
@@ -208,6 +208,16 @@
 }
 
 void platform_site::write_config(int version, const std::string& extra_prefix)
+{
+    this->put_config(version, extra_prefix, true);
+}
+
+void platform_site::write_config_without_services(int version)
+{
+    this->put_config(version, "", false);
+}
+
+void platform_site::put_config(int version, const std::string& extra_prefix, bool has_services)
 {
     json routes = json::array();
     routes.push_back(route("/plain/", "safe", "app", 2));
@@ -216,17 +226,20 @@
     routes.push_back(route("/resume/", "streaming", "llm", 2));
     if (!extra_prefix.empty())
         routes.push_back(route(extra_prefix, "safe", "app", 2));
-    const json config{
-        {"version", version},
-        {"routes", routes},
-        {"services",
-         {{{"name", "app"}},
-          {{"name", "llm"}, {"engine", {{"kv_capacity", 20'000}, {"stride", 13}, {"handle_ttl_s", 0.5}}}}}},
-        {"limits",
-         {{"max_header_bytes", 8'192},
-          {"max_body_bytes", 100'000},
-          {"header_timeout_ms", 1'000},
-          {"idle_timeout_ms", 15'000}}}};
+    json services = json::array();
+    if (has_services) {
+        services.push_back({{"name", "app"}});
+        services.push_back(
+            {{"name", "llm"}, {"engine", {{"kv_capacity", 20'000}, {"stride", 13}, {"handle_ttl_s", 0.5}}}});
+    }
+    const json config{{"version", version},
+                      {"routes", routes},
+                      {"services", services},
+                      {"limits",
+                       {{"max_header_bytes", 8'192},
+                        {"max_body_bytes", 100'000},
+                        {"header_timeout_ms", 1'000},
+                        {"idle_timeout_ms", 15'000}}}};
     this->store->put("op/config", config.dump());
 }
 
--- a/tests/platform/platform_site.h
+++ b/tests/platform/platform_site.h
@@ -76,6 +76,9 @@
     /// Writes the configuration: routes /plain/ (idempotent), /once/ (not), /stream/ and /resume/.
     void write_config(int version, const std::string& extra_prefix = "");
 
+    /// Writes a configuration with the same routes that names no service.
+    void write_config_without_services(int version);
+
     /// Writes the entries of all engines into the store.
     void register_engines();
 
@@ -105,6 +108,7 @@
     };
 
     void write_settings(const site_host& host) const;
+    void put_config(int version, const std::string& extra_prefix, bool has_services);
     std::string file_path(std::size_t host, const std::string& ending) const;
 
     std::vector<site_host> hosts;
--- a/tests/platform/test_streams.cpp
+++ b/tests/platform/test_streams.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(expired_prefill_result_is_answered_truthfully);
     CPPUNIT_TEST(prefill_result_is_offered_to_a_second_decode_engine);
     CPPUNIT_TEST(decode_moves_elsewhere_when_its_engine_drains_during_prefill);
+    CPPUNIT_TEST(stream_goes_on_beside_another_one_when_a_configuration_drops_its_service);
     CPPUNIT_TEST(full_engines_cause_503_and_no_run);
     CPPUNIT_TEST(caller_disconnect_cancels_the_stream);
     CPPUNIT_TEST(surplus_prefill_engine_is_ordered_to_decode_once);
@@ -150,6 +151,41 @@
         CPPUNIT_ASSERT_EQUAL(callers, this->site->engine("d1").runs());
     }
 
+    // Guards against streams that find every engine in use full, because the newest configuration does not name their
+    // service any more.
+    void stream_goes_on_beside_another_one_when_a_configuration_drops_its_service()
+    {
+        this->start(0, 2);
+        const auto ask = [this](const std::string& id) {
+            site_request request;
+            request.path = "/resume/1";
+            request.id = id;
+            request.deadline_ms = 11'000;
+            request.extra_headers = {{"Model", "m"}, {"Token-Count", "800,100"}, {"Prefix-Hash", "a:200,b:600"}};
+            caller own_caller;
+            return own_caller.wait(call_gateway(this->site->callers_address(), request));
+        };
+        standin_engine& broken = this->site->engine("d0");
+        standin_engine& other = this->site->engine("d1");
+        // Streams of 4 s, one at each engine.
+        broken.set_work_time(500ms);
+        other.set_work_time(500ms);
+        std::vector<std::future<site_response>> streams;
+        constexpr std::size_t most_streams = 6;
+        while ((broken.runs() == 0 || other.runs() == 0) && streams.size() < most_streams) {
+            streams.push_back(std::async(std::launch::async, ask, "attempt-" + std::to_string(streams.size())));
+            std::this_thread::sleep_for(50ms);
+        }
+        CPPUNIT_ASSERT(broken.runs() > 0 && other.runs() > 0);
+        broken.set_fault(engine_fault::cut_stream);
+        this->site->write_config_without_services(2);
+        // The broken streams go on at the other engine while its own ones are running.
+        CPPUNIT_ASSERT(wait_until([&] { return broken.active_count() == 0; }, 3s));
+        CPPUNIT_ASSERT(wait_until([&] { return other.runs() == static_cast<int>(streams.size()); }, 1s));
+        for (auto& response : streams)
+            CPPUNIT_ASSERT(response.get().is_complete);
+    }
+
     void full_engines_cause_503_and_no_run()
     {
         this->start(1, 2);
