Heed what engines say of themselves in their answers

Callers lost requests to engines that had said in an answer that they were about to stop, as long as the store still showed them as ready: during an outage, with an outdated list, or if they never write "draining". Engines that refused a call with a time to stay away were called again after 60 ms to 1 s, and callers were told to return before that time.

Cause: leaving was read from the store's entries only, and Retry-After was written towards callers but never read.

`endpoint_notices` keeps by endpoint what it said, independent of the store; the dialect reads both headers from every answer that carries the request's id and is no 421. The chooser leaves out engines that leave or pause before it weighs health, so no call of any kind passes by it: plain calls, prefill, decode, resumes, retries, phase orders; releases of prefill results are held back for a pause. A leaving incarnation is forgotten when a newer one is registered. Pauses end up to a quarter later, at random, and last at most five minutes. If all engines of a service pause, callers are refused at once with the rest of the earliest pause; streams that have started wait.

The chooser's constructor has one parameter more; the fixture of test_choices passes it, its checks are unchanged.

--- a/src/forward/capacity_wait.cpp
+++ b/src/forward/capacity_wait.cpp
@@ -32,6 +32,16 @@
                             {"others_waiting", std::to_string(others_waiting)}});
 }
 
+/// Returns whether a request that found only endpoints that pause waits for them.
+bool should_await_pause(const forward_context& context, const std::string& service, const wait_deadlines& deadlines,
+                        time_point now)
+{
+    if (deadlines.has_stream_started)
+        return true;
+    const auto pause_end = context.chooser.earliest_pause_end(service, now);
+    return pause_end && *pause_end <= now + max_awaited_pause;
+}
+
 } // namespace
 
 bool may_select_now(const std::string& service, const request_queue& queue, const request_queue::queue_entry& entry,
@@ -51,13 +61,14 @@
         static_cast<milliseconds::rep>(to_ms(active.matched_route.latency_objective) * max_wait_factor)};
     const milliseconds allowed_wait = std::max(active.matched_route.latency_objective - serving_time, milliseconds{0});
     return {active.arrived_at + allowed_wait / 2, active.arrived_at + allowed_wait, active.arrived_at + max_wait,
-            serving_time};
+            serving_time, false};
 }
 
 wait_deadlines extend_for_started_stream(wait_deadlines deadlines, time_point give_up_at)
 {
     deadlines.give_up_at = std::max(deadlines.give_up_at, give_up_at);
     deadlines.serving_time = milliseconds{0};
+    deadlines.has_stream_started = true;
     return deadlines;
 }
 
@@ -75,6 +86,8 @@
         return {error_kind::no_endpoint, "no endpoint of the service takes the request", remedy};
     if (cause == selection_failure::host_stopping)
         return {error_kind::unavailable, "this host stops before the request could be completed", "ask another host"};
+    if (cause == selection_failure::paused)
+        return {error_kind::overloaded, "the endpoints of the service asked for a pause", remedy};
     return {error_kind::overloaded, "all endpoints of the service are full", remedy};
 }
 
@@ -96,12 +109,17 @@
             break;
         }
         failure = selection_failure::full;
-        if (may_select_now(active.service, queue, entry, context.load, now)) {
+        if (context.chooser.earliest_pause_end(active.service, now)) {
+            // Applies to the whole queue: requests that are not at its front need not wait for their turn to know.
+            failure = selection_failure::paused;
+        } else if (may_select_now(active.service, queue, entry, context.load, now)) {
             selection_context selection{excluded, context.draw(), queue.count_ahead(entry),
                                         context.are_peer_loads_current};
             selection.reserved_slots += context.load.count_peer_heads_ahead({active.service, entry.rank}, now);
             failure = select(selection);
         }
+        if (failure == selection_failure::paused && !should_await_pause(context, active.service, deadlines, now))
+            break;
         if (!failure || *failure == selection_failure::no_endpoint || now >= deadlines.give_up_at ||
             active.canceller.is_caller_disconnected() || active.canceller.time_left() < min_forward_time)
             break;
--- a/src/forward/capacity_wait.h
+++ b/src/forward/capacity_wait.h
@@ -18,6 +18,8 @@
     /// How long the request is expected to take once it has an endpoint. It is not started later than this before its
     /// host stops.
     milliseconds serving_time{0};
+    /// A stream that has started waits for endpoints that pause; other requests are refused instead.
+    bool has_stream_started = false;
 
     bool operator==(const wait_deadlines&) const = default;
 
--- a/src/forward/endpoint_chooser.cpp
+++ b/src/forward/endpoint_chooser.cpp
@@ -54,8 +54,8 @@
 }
 
 endpoint_chooser::endpoint_chooser(const endpoint_directory& directory, const fleet_load& load,
-                                   const endpoint_health& health, std::string zone)
-    : directory(directory), load(load), health(health), zone(std::move(zone))
+                                   const endpoint_health& health, const endpoint_notices& notices, std::string zone)
+    : directory(directory), load(load), health(health), notices(notices), zone(std::move(zone))
 {
 }
 
@@ -65,7 +65,7 @@
 {
     const auto candidates = this->candidates(service, endpoint_phase::none, selection.excluded, now);
     if (candidates.empty())
-        return tl::unexpected{selection_failure::no_endpoint};
+        return tl::unexpected{this->no_candidate_cause(service, endpoint_phase::none, selection.excluded, now)};
     std::vector<std::pair<double, const endpoint*>> slots_by_score;
     std::size_t index = 0;
     for (const endpoint* candidate : candidates) {
@@ -94,7 +94,8 @@
     const auto decode_engines = this->candidates(demand.service, endpoint_phase::decode, selection.excluded, now);
     const auto prefill_engines = this->candidates(demand.service, endpoint_phase::prefill, selection.excluded, now);
     if (decode_engines.empty())
-        return tl::unexpected{selection_failure::no_endpoint};
+        return tl::unexpected{
+            this->no_candidate_cause(demand.service, endpoint_phase::decode, selection.excluded, now)};
     std::size_t index = 0;
     std::vector<std::pair<double, const endpoint*>> prefill_options;
     for (const endpoint* prefill_engine : prefill_engines) {
@@ -134,7 +135,8 @@
 {
     const auto decode_engines = this->candidates(demand.service, endpoint_phase::decode, selection.excluded, now);
     if (decode_engines.empty())
-        return tl::unexpected{selection_failure::no_endpoint};
+        return tl::unexpected{
+            this->no_candidate_cause(demand.service, endpoint_phase::decode, selection.excluded, now)};
     std::vector<option> options;
     std::size_t index = 0;
     for (const endpoint* decode_engine : decode_engines) {
@@ -188,7 +190,7 @@
 std::vector<const endpoint*> endpoint_chooser::candidates(const std::string& service, endpoint_phase phase,
                                                           const excluded_endpoints& excluded, time_point now) const
 {
-    std::vector<const endpoint*> selectable = this->directory.usable(service);
+    std::vector<const endpoint*> selectable = this->callable(service, now);
     std::erase_if(selectable, [&](const endpoint* candidate) {
         return candidate->phase != phase || excluded.contains(candidate->incarnation());
     });
@@ -202,6 +204,43 @@
     return selectable;
 }
 
+selection_failure endpoint_chooser::no_candidate_cause(const std::string& service, endpoint_phase phase,
+                                                       const excluded_endpoints& excluded, time_point now) const
+{
+    const auto usable = this->directory.usable(service);
+    const bool is_any_paused = std::ranges::any_of(usable, [&](const endpoint* candidate) {
+        return candidate->phase == phase && !excluded.contains(candidate->incarnation()) &&
+               !this->notices.is_leaving(*candidate, now) && this->notices.paused_until(*candidate, now);
+    });
+    return is_any_paused ? selection_failure::paused : selection_failure::no_endpoint;
+}
+
+std::vector<const endpoint*> endpoint_chooser::callable(const std::string& service, time_point now) const
+{
+    std::vector<const endpoint*> found = this->directory.usable(service);
+    if (this->notices.is_empty())
+        return found;
+    std::erase_if(found, [&](const endpoint* candidate) { return !this->notices.accepts_calls(*candidate, now); });
+    return found;
+}
+
+std::optional<time_point> endpoint_chooser::earliest_pause_end(const std::string& service, time_point now) const
+{
+    if (!this->notices.has_pauses())
+        return std::nullopt;
+    std::optional<time_point> earliest;
+    for (const auto& [entry_key, entry] : this->directory.entries()) {
+        const bool can_serve = entry.service == service && !entry.is_draining && entry.phase != endpoint_phase::prefill;
+        if (!can_serve || this->notices.is_leaving(entry, now))
+            continue;
+        const auto pause_end = this->notices.paused_until(entry, now);
+        if (!pause_end)
+            return std::nullopt;
+        earliest = earliest ? std::min(*earliest, *pause_end) : pause_end;
+    }
+    return earliest;
+}
+
 std::size_t endpoint_chooser::count_fitting_requests(const endpoint& target, const endpoint_load& current,
                                                      const model_demand& demand)
 {
--- a/src/forward/endpoint_chooser.h
+++ b/src/forward/endpoint_chooser.h
@@ -10,6 +10,7 @@
 #include "forward/endpoint.h"
 #include "forward/endpoint_directory.h"
 #include "forward/endpoint_health.h"
+#include "forward/endpoint_notices.h"
 #include "forward/fleet_load.h"
 
 namespace radishstep::forward {
@@ -54,9 +55,10 @@
 };
 
 /// Why no endpoint was selected. `host_stopping`: an endpoint could not complete the request before this host stops.
-enum class selection_failure { no_endpoint, full, host_stopping };
+/// `paused`: the endpoints that could take the request asked this host for a pause.
+enum class selection_failure { no_endpoint, full, host_stopping, paused };
 
-/// Selects endpoints by load, observed health and zone. Keeps no state of its own.
+/// Selects endpoints by load, observed health, their notices and zone. Keeps no state of its own.
 class endpoint_chooser
 {
 public:
@@ -77,7 +79,7 @@
     static constexpr std::int64_t growth_reserve_tokens = 2'900;
 
     endpoint_chooser(const endpoint_directory& directory, const fleet_load& load, const endpoint_health& health,
-                     std::string zone);
+                     const endpoint_notices& notices, std::string zone);
 
     /// Calls assigned to an endpoint beyond its slots, so that a freed slot is reused without delay.
     static constexpr std::int64_t max_queued_calls = 1;
@@ -100,6 +102,13 @@
                                                                         const selection_context& selection,
                                                                         time_point now) const;
 
+    /// Returns the endpoints of a service that may be sent a call now.
+    std::vector<const endpoint*> callable(const std::string& service, time_point now) const;
+
+    /// Returns the earliest end of a pause if every endpoint that could serve a request of the service pauses. Prefill
+    /// engines don't count, since decode engines can run the prefill.
+    std::optional<time_point> earliest_pause_end(const std::string& service, time_point now) const;
+
     /// Returns whether the hosts together have assigned more work to a decode engine than its slots or KV cache
     /// allow.
     bool is_overbooked(const endpoint& target, const model_demand& demand, time_point now) const;
@@ -110,6 +119,9 @@
 private:
     std::vector<const endpoint*> candidates(const std::string& service, endpoint_phase phase,
                                             const excluded_endpoints& excluded, time_point now) const;
+    /// Returns why there are no candidates.
+    selection_failure no_candidate_cause(const std::string& service, endpoint_phase phase,
+                                         const excluded_endpoints& excluded, time_point now) const;
     double decode_delay_ms(const endpoint& target, const endpoint_load& current, time_point now) const;
     /// Returns how many requests like `demand` fit on the engine in addition to its current load.
     static std::size_t count_fitting_requests(const endpoint& target, const endpoint_load& current,
@@ -129,6 +141,7 @@
     const endpoint_directory& directory;
     const fleet_load& load;
     const endpoint_health& health;
+    const endpoint_notices& notices;
     std::string zone;
 };
 
--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -3,13 +3,66 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/metrics.h"
+#include "forward/request_rules.h"
 
 namespace radishstep::forward {
 
+namespace {
+
+/// Longest part of an unusable value that is logged.
+constexpr std::size_t max_logged_value_bytes = 40;
+
+std::string to_string(call_kind call)
+{
+    switch (call) {
+    case call_kind::plain:
+        return "plain answer";
+    case call_kind::prefill:
+        return "prefill answer";
+    case call_kind::decode:
+        return "decode answer";
+    case call_kind::phase_order:
+        return "order answer";
+    }
+    return "";
+}
+
+std::string_view state_name(notice_event event)
+{
+    switch (event) {
+    case notice_event::leaving_started:
+        return "endpoint_leaving";
+    case notice_event::leaving_ended:
+        return "endpoint_leaving_ended";
+    case notice_event::pause_started:
+        return "endpoint_paused";
+    case notice_event::pause_extended:
+        return "endpoint_pause_extended";
+    case notice_event::pause_ended:
+        return "endpoint_pause_ended";
+    }
+    return "";
+}
+
+void log_changes(const std::vector<notice_change>& changes)
+{
+    for (const notice_change& change : changes) {
+        const bool is_paused = change.remaining > milliseconds{0};
+        log_state(state_name(change.event),
+                  {{"endpoint", change.incarnation},
+                   {"source", to_string(change.source)},
+                   {"age_ms", std::to_string(change.age.count())},
+                   {"until_ms", is_paused ? std::to_string(wall_clock_ms() + change.remaining.count()) : "none"}});
+    }
+}
+
+} // namespace
+
 forward_context::forward_context(const boost::asio::any_io_executor& executor, const forward_dialect& dialect,
                                  std::string zone)
     : executor(executor), dialect(dialect), http_client(executor),
-      chooser(this->directory, this->load, this->health, std::move(zone)), random(std::random_device{}())
+      chooser(this->directory, this->load, this->health, this->notices, std::move(zone)), random(std::random_device{}())
 {
 }
 
@@ -41,6 +94,50 @@
     this->notify_load_change(true);
 }
 
+void forward_context::record_notice(const endpoint& source, call_kind call, const std::string& request_id,
+                                    const http::response& head)
+{
+    const endpoint_notice notice = this->dialect.parse_notice(request_id, head);
+    if (!notice.unusable_value.empty()) {
+        count("radishstep_forward_notices_total", {{"notice", "unusable"}});
+        log_decision("notice_unusable", {{"request", request_id},
+                                         {"endpoint", source.incarnation()},
+                                         {"value", notice.unusable_value.substr(0, max_logged_value_bytes)}});
+    }
+    if (notice.is_leaving)
+        count("radishstep_forward_notices_total", {{"notice", "leaving"}});
+    if (notice.pause)
+        count("radishstep_forward_notices_total", {{"notice", "pause"}});
+    const heard_answer answer{source, call, runtime_clock::now(), wall_clock_ms()};
+    log_changes(this->notices.record(answer, notice, this->draw()));
+}
+
+void forward_context::forget_replaced_notices(const endpoint& registered)
+{
+    log_changes(this->notices.forget_replaced(registered, runtime_clock::now()));
+}
+
+void forward_context::expire_notices()
+{
+    log_changes(this->notices.expire(this->directory, runtime_clock::now()));
+    const auto set_count = [](const std::string& state, std::size_t endpoints) {
+        set_gauge("radishstep_forward_endpoints_held_back", static_cast<double>(endpoints), {{"state", state}});
+    };
+    set_count("leaving", this->notices.leaving_count());
+    set_count("paused", this->notices.pause_count());
+}
+
+std::optional<milliseconds> forward_context::caller_retry_delay(const std::string& service, error_kind reason,
+                                                                bool may_have_run, milliseconds remaining)
+{
+    const time_point now = runtime_clock::now();
+    const auto pause_end = this->chooser.earliest_pause_end(service, now);
+    const bool is_for_want_of_endpoints = reason == error_kind::overloaded || reason == error_kind::no_endpoint;
+    if (!pause_end || !is_for_want_of_endpoints || may_have_run)
+        return retry_after_delay(reason, may_have_run, remaining);
+    return retry_delay_after_pause(std::chrono::ceil<milliseconds>(*pause_end - now), this->draw());
+}
+
 std::vector<queue_head> forward_context::queue_heads() const
 {
     std::vector<queue_head> heads;
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -9,6 +9,7 @@
 #include "forward/endpoint_chooser.h"
 #include "forward/endpoint_directory.h"
 #include "forward/endpoint_health.h"
+#include "forward/endpoint_notices.h"
 #include "forward/fleet_load.h"
 #include "forward/forward_config.h"
 #include "forward/forward_dialect.h"
@@ -30,6 +31,7 @@
     endpoint_directory directory;
     fleet_load load;
     endpoint_health health;
+    endpoint_notices notices;
     endpoint_chooser chooser;
     retry_budget budget;
     /// Requests waiting for capacity at an endpoint, by service.
@@ -56,6 +58,21 @@
     /// Marks an endpoint as down and schedules an urgent report to the other hosts.
     void mark_down(const std::string& incarnation);
 
+    /// Records what an endpoint says of itself in its answer to a call; `request_id` is empty for calls without an id.
+    void record_notice(const endpoint& source, call_kind call, const std::string& request_id,
+                       const http::response& head);
+
+    /// Forgets notices of endpoints that the newly registered one replaces.
+    void forget_replaced_notices(const endpoint& registered);
+
+    /// Ends notices that are over and updates their metrics.
+    void expire_notices();
+
+    /// Returns the retry delay for a refused caller of a service, or nothing if its request may have run. While all
+    /// endpoints of the service pause, it lasts until the first pause ends.
+    std::optional<milliseconds> caller_retry_delay(const std::string& service, error_kind reason, bool may_have_run,
+                                                   milliseconds remaining);
+
     /// Returns the first request of each non-empty request queue.
     std::vector<queue_head> queue_heads() const;
 
--- a/src/forward/forward_dialect.h
+++ b/src/forward/forward_dialect.h
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "base/runtime_clock.h"
 #include "forward/endpoint.h"
+#include "forward/endpoint_notice.h"
 #include "http/message.h"
 
 namespace radishstep::forward {
@@ -87,6 +88,10 @@
     /// Classifies an answer by its status and headers.
     virtual answer_kind classify_answer(const caller_request& request, const http::response& head) const = 0;
 
+    /// Returns what an endpoint says of itself in its answer to the call with that id, which is empty for calls without
+    /// one. The notice is empty if the answer belongs to another call or comes from another endpoint.
+    virtual endpoint_notice parse_notice(const std::string& request_id, const http::response& head) const = 0;
+
     /// Returns the prefill result in an engine's answer, or a protocol error.
     virtual result<prefill_result> parse_prefill_answer(const endpoint& target, const http::response& answer) const = 0;
 
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -280,6 +280,7 @@
                                 {"draining", decoded->is_draining ? "yes" : "no"},
                                 {"phase", std::to_string(static_cast<int>(decoded->phase))},
                                 {"revision", std::to_string(change.revision)}});
+    this->context.forget_replaced_notices(*decoded);
     this->context.directory.put(change.key, std::move(*decoded));
 }
 
@@ -292,6 +293,7 @@
             log_problem("endpoint_unusable", {{"key", item.key}, {"cause", describe(decoded.error())}});
             continue;
         }
+        this->context.forget_replaced_notices(*decoded);
         entries.emplace(item.key, std::move(*decoded));
     }
     log_state("endpoints_read", {{"usable", std::to_string(entries.size())}, {"all", std::to_string(items.size())}});
@@ -384,6 +386,7 @@
             log_state("endpoint_gone",
                       {{"endpoint", dropped.id}, {"cause", "did not register again after the outage"}});
         this->context.health.expire_records(now);
+        this->context.expire_notices();
         for (const auto& watched : this->watches)
             watched->recover_missed_changes(now);
     }
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -156,12 +156,14 @@
 /// Checks the reserved decode engine again after the prefill. Meanwhile the engine may have started to drain, or
 /// several hosts may have reserved the same capacity before they got each other's load reports; the engine would reject
 /// the last of them. Moves the reservation if the engine is overbooked and another has capacity; keeps it if no other
-/// has. Returns false if the engine no longer accepts work, so that the request has to wait for a new reservation.
+/// has. Returns false if the engine no longer accepts work or pauses, so that the request has to wait for a new
+/// reservation.
 bool model_forwarder::confirm_decode_engine(reservation& reserved)
 {
     const time_point now = runtime_clock::now();
     const endpoint decode_engine = reserved.engines.decode;
-    if (!this->context.directory.accepts_work(decode_engine))
+    if (!this->context.directory.accepts_work(decode_engine) ||
+        !this->context.notices.accepts_calls(decode_engine, now))
         return false;
     if (!this->has_prefilled_prompt() || !this->context.chooser.is_overbooked(decode_engine, this->demand(), now))
         return true;
@@ -301,9 +303,10 @@
         this->context.dialect.make_prefill_call(this->active.request, target, this->active.canceller.time_left());
     auto answer = co_await this->context.http_client.call(target.address, std::move(call), std::move(options));
     const time_point now = runtime_clock::now();
-    if (answer)
+    if (answer) {
+        this->context.record_notice(target, call_kind::prefill, this->active.request.id, *answer);
         this->log_call("prefill_ended", target, sent_at, *answer);
-    else
+    } else
         this->log_call("prefill_failed", target, sent_at, answer.error());
     this->record_delivery_or_refund(this->delivered_prefill_calls,
                                     answer.has_value() || may_have_arrived(answer.error().kind));
@@ -329,7 +332,7 @@
                                          now);
     const service* service_config = this->context.config->find_service(this->active.service);
     const milliseconds lifetime = service_config == nullptr ? milliseconds{0} : service_config->prefill_lifetime;
-    this->prefilled = prefilled_prompt{std::move(*result), target.zone, now + lifetime - prefill_fetch_margin};
+    this->prefilled = prefilled_prompt{std::move(*result), target.zone, now + lifetime - prefill_fetch_margin, target};
     co_return true;
 }
 
@@ -352,6 +355,7 @@
                                     stream.has_value() || may_have_arrived(stream.error().kind));
     if (!stream)
         co_return this->handle_failure(target, stream.error());
+    this->context.record_notice(target, call_kind::decode, this->active.request.id, (*stream)->head());
     this->log_call("decode_answered", target, sent_at, (*stream)->head());
     const time_point now = runtime_clock::now();
     switch (this->context.dialect.classify_answer(this->active.request, (*stream)->head())) {
@@ -470,6 +474,9 @@
 {
     if (!this->has_prefilled_prompt())
         return;
+    // An engine that asked for a pause gets no release call either; the result expires by itself.
+    if (this->context.notices.paused_until(this->prefilled->engine, runtime_clock::now()))
+        return;
     const prefill_result result = this->prefilled->result;
     asio::co_spawn(
         this->context.executor,
@@ -502,7 +509,8 @@
         co_return;
     const bool may_have_run = this->run_count > 0;
     const error reported = error_for_caller(reason, may_have_run);
-    const auto retry_after = retry_after_delay(reported.kind, may_have_run, this->active.canceller.time_left());
+    const auto retry_after = this->context.caller_retry_delay(this->active.service, reported.kind, may_have_run,
+                                                              this->active.canceller.time_left());
     http::response response = this->context.dialect.make_refusal(this->active.request.id, reported, retry_after);
     this->outcome.status = response.status;
     co_await this->active.caller.send(std::move(response));
--- a/src/forward/model_forwarder.h
+++ b/src/forward/model_forwarder.h
@@ -40,6 +40,7 @@
         prefill_result result;
         std::string zone;
         time_point expires_at;
+        endpoint engine;
     };
 
     /// The chosen engines, with the request's load counted at each.
--- a/src/forward/phase_controller.cpp
+++ b/src/forward/phase_controller.cpp
@@ -106,8 +106,9 @@
         while (target.kv_capacity_tokens > 0 && !this->is_stopped) {
             if (runtime_clock::now() > this->renewed_at + max_renewal_age)
                 co_return;
-            const auto engine = find_surplus_prefill_engine(this->context.directory.usable(target.name),
-                                                            this->changing_incarnations(), target.kv_capacity_tokens);
+            const auto engines = this->context.chooser.callable(target.name, runtime_clock::now());
+            const auto engine =
+                find_surplus_prefill_engine(engines, this->changing_incarnations(), target.kv_capacity_tokens);
             if (!engine)
                 break;
             co_await this->send_order(*engine, target);
@@ -124,6 +125,8 @@
     http::request call = this->context.dialect.make_phase_order(engine, endpoint_phase::decode, this->settings.host,
                                                                 this->fencing_token);
     const auto answer = co_await this->context.http_client.call(engine.address, std::move(call), std::move(options));
+    if (answer)
+        this->context.record_notice(engine, call_kind::phase_order, "", *answer);
     constexpr unsigned min_refusal_status = 300;
     const bool is_accepted = answer && answer->status < min_refusal_status;
     milliseconds pause = failed_order_pause;
--- a/src/forward/plain_forwarder.cpp
+++ b/src/forward/plain_forwarder.cpp
@@ -112,6 +112,7 @@
 {
     const time_point now = runtime_clock::now();
     const std::string incarnation = target.incarnation();
+    this->context.record_notice(target, call_kind::plain, this->active.request.id, answer);
     ++this->delivered_calls;
     switch (this->context.dialect.classify_answer(this->active.request, answer)) {
     case answer_kind::not_executed:
@@ -169,7 +170,8 @@
         co_return;
     }
     const error reason = error_for_caller(*this->stop_reason, this->run_count > 0);
-    const auto retry_after = retry_after_delay(reason.kind, this->run_count > 0, this->active.canceller.time_left());
+    const auto retry_after = this->context.caller_retry_delay(this->active.service, reason.kind, this->run_count > 0,
+                                                              this->active.canceller.time_left());
     http::response response = this->context.dialect.make_refusal(this->active.request.id, reason, retry_after);
     this->outcome.status = response.status;
     this->outcome.cause = reason.message;
--- a/src/forward/request_rules.cpp
+++ b/src/forward/request_rules.cpp
@@ -41,4 +41,9 @@
     return std::min(delay, remaining / remaining_time_divisor);
 }
 
+milliseconds retry_delay_after_pause(milliseconds remaining_pause, double draw)
+{
+    return remaining_pause + milliseconds{static_cast<milliseconds::rep>(to_ms(default_retry_delay) * draw)};
+}
+
 } // namespace radishstep::forward
--- a/src/forward/request_rules.h
+++ b/src/forward/request_rules.h
@@ -29,4 +29,12 @@
 /// fraction of `remaining`, the time that the caller has left.
 std::optional<milliseconds> retry_after_delay(error_kind reason, bool may_have_run, milliseconds remaining);
 
+/// Returns the retry delay for a caller that was refused because all endpoints pause for at least `remaining_pause`.
+/// `draw` is uniform in [0, 1) and spreads the callers that return. Not limited by the time that the caller has left:
+/// an earlier retry is refused again.
+milliseconds retry_delay_after_pause(milliseconds remaining_pause, double draw);
+
+/// Longest remaining pause for which a request waits; a refused caller would not be back sooner.
+constexpr milliseconds max_awaited_pause{250};
+
 } // namespace radishstep::forward
--- a/tests/forward/test_choices.cpp
+++ b/tests/forward/test_choices.cpp
@@ -289,9 +289,10 @@
     endpoint_directory directory;
     fleet_load load;
     endpoint_health health;
+    endpoint_notices notices;
     excluded_endpoints none_excluded;
     time_point now = runtime_clock::now();
-    endpoint_chooser chooser{this->directory, this->load, this->health, "a"};
+    endpoint_chooser chooser{this->directory, this->load, this->health, this->notices, "a"};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_choices);
--- a/tests/platform/fuzz_decoders.cpp
+++ b/tests/platform/fuzz_decoders.cpp
@@ -63,6 +63,8 @@
         dialect.make_decode_call(*request, target, milliseconds{100}, std::nullopt, request->last_event_id));
     static_cast<void>(dialect.classify_answer(*request, response));
     static_cast<void>(dialect.parse_prefill_answer(target, response));
+    response.status = 503;
+    static_cast<void>(dialect.parse_notice(request->id, response));
     static_cast<void>(dialect.make_caller_head(response));
 }
 
@@ -128,7 +130,7 @@
         {"site headers",
          decode_headers,
          {"Host: h\nAttempt-Id: 1\nDeadline-Ms: 900\nToken-Count: 1460,80\nLength-Hint: 70\nLast-Event-Id: 4\n"
-          "Connection: keep-alive, X-Own\nX-Own: 1\nServer-Signature: s\nRetry-After: 0.5\n"
+          "Connection: keep-alive, X-Own\nX-Own: 1\nServer-Signature: s\nRetry-After: 0.5\nServer-Leaving: 1\n"
           "Body: {\"handle\":\"h\",\"tokens\":1460,\"version\":1}"}},
         {"load report", decode_load_report, {sample_report()}},
         {"event relay", relay_events, {"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"}},
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -70,6 +70,7 @@
 
 std::string standin_engine::entry(const std::string& state) const
 {
+    const std::scoped_lock lock{this->mutex};
     json document{{"service", this->service},
                   {"address", this->advertised_address.empty() ? this->address() : this->advertised_address},
                   {"zone", "a"},
@@ -78,7 +79,7 @@
                   {"state", state},
                   {"sequence", 1},
                   {"cold_remaining_ms", 0},
-                  {"born", 1'700'000'000'000}};
+                  {"born", this->started_ms}};
     if (!this->phase.empty())
         document["phase"] = this->phase;
     return document.dump();
@@ -96,6 +97,32 @@
     this->work_time = time;
 }
 
+void standin_engine::set_leaving(bool leaving)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->is_leaving = leaving;
+}
+
+void standin_engine::set_pause(std::optional<std::string> retry_after)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->pause = std::move(retry_after);
+}
+
+std::optional<std::string> standin_engine::current_pause() const
+{
+    const std::scoped_lock lock{this->mutex};
+    return this->pause;
+}
+
+void standin_engine::restart()
+{
+    const std::scoped_lock lock{this->mutex};
+    this->is_leaving = false;
+    this->pause.reset();
+    this->started_ms = wall_clock_ms();
+}
+
 std::vector<engine_call> standin_engine::calls() const
 {
     const std::scoped_lock lock{this->mutex};
@@ -112,7 +139,7 @@
 {
     const std::scoped_lock lock{this->mutex};
     this->all_calls.push_back({std::string{http::find_header(request.lines, "Attempt-Id")}, kind, request, false, false,
-                               runtime_clock::now()});
+                               runtime_clock::now(), this->started_ms, std::nullopt});
     return this->all_calls.size() - 1;
 }
 
@@ -122,6 +149,12 @@
     this->all_calls[call].has_run = true;
 }
 
+void standin_engine::mark_pause(std::size_t call, const std::string& retry_after)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->all_calls[call].asked_pause = retry_after;
+}
+
 void standin_engine::mark_caller_disconnected(std::size_t call)
 {
     const std::scoped_lock lock{this->mutex};
@@ -144,6 +177,8 @@
         lines.push_back({"Server-Signature", this->id + ".signed"});
     if (this->fault == engine_fault::encoded)
         lines.push_back({"Content-Encoding", "gzip"});
+    if (this->is_leaving)
+        lines.push_back({"Server-Leaving", "1"});
     return lines;
 }
 
@@ -172,6 +207,15 @@
         lines.push_back({"Not-Executed", "1"});
         co_return co_await caller.write(http_answer(status_unavailable, lines, ""));
     }
+    if (const auto retry_after = this->current_pause()) {
+        // With another id the answer is not one to this call.
+        if (active_fault != engine_fault::wrong_id)
+            this->mark_pause(call, *retry_after);
+        http::headers lines = this->response_headers(call);
+        lines.push_back({"Not-Executed", "1"});
+        lines.push_back({"Retry-After", *retry_after});
+        co_return co_await caller.write(http_answer(status_unavailable, lines, ""));
+    }
     if (is_prefill)
         co_return co_await this->send_prefill_response(call, caller);
     if (this->phase == "decode")
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,10 @@
     bool has_run = false;
     bool caller_disconnected = false;
     time_point received_at;
+    /// Start time of the engine's incarnation that received the call.
+    std::int64_t started_ms = 0;
+    /// Set if the call was refused with a time to stay away.
+    std::optional<std::string> asked_pause;
 };
 
 /// Simulates an engine or a plain endpoint of the platform. Runs on one executor; the public functions may be
@@ -79,6 +84,15 @@
     void set_fault(engine_fault fault);
     void set_work_time(milliseconds time);
 
+    /// Makes all answers from now on say that the engine is leaving.
+    void set_leaving(bool leaving);
+
+    /// Refuses all calls from now on as not run, with this value as the time to stay away; nothing ends that.
+    void set_pause(std::optional<std::string> retry_after);
+
+    /// Starts a new incarnation, with the same id and address, that is neither leaving nor refuses calls.
+    void restart();
+
     /// Returns all calls received so far.
     std::vector<engine_call> calls() const;
 
@@ -104,8 +118,10 @@
     http::headers response_headers(std::size_t call) const;
     std::size_t record_call(const http::request& request, const std::string& kind);
     void mark_run(std::size_t call);
+    void mark_pause(std::size_t call, const std::string& retry_after);
     void mark_caller_disconnected(std::size_t call);
     engine_fault current_fault() const;
+    std::optional<std::string> current_pause() const;
 
     std::string id;
     std::string service;
@@ -114,6 +130,9 @@
     mutable std::mutex mutex;
     engine_fault fault = engine_fault::none;
     milliseconds work_time{5};
+    bool is_leaving = false;
+    std::optional<std::string> pause;
+    std::int64_t started_ms = 1'700'000'000'000;
     std::vector<engine_call> all_calls;
     std::atomic<int> active_calls = 0;
     raw_server server;
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(malformed_store_responses_are_errors);
     CPPUNIT_TEST(request_headers_are_decoded);
     CPPUNIT_TEST(endpoint_responses_are_classified);
+    CPPUNIT_TEST(notices_are_decoded_from_answers_to_the_request);
+    CPPUNIT_TEST(unusable_notices_are_bounded);
     CPPUNIT_TEST(error_responses_carry_retry_after);
     CPPUNIT_TEST(hop_by_hop_headers_are_not_forwarded);
     CPPUNIT_TEST_SUITE_END();
@@ -145,6 +147,45 @@
                        answer_kind::unverified);
     }
 
+    // Guards against notices of other endpoints, which answer 421, and of late answers to other requests.
+    void notices_are_decoded_from_answers_to_the_request()
+    {
+        const platform::platform_dialect dialect;
+        const http::headers lines{{"Attempt-Id", "a1"}, {"Server-Leaving", "1"}, {"Retry-After", "1.5"}};
+        const auto refused = dialect.parse_notice("a1", {503, lines, ""});
+        CPPUNIT_ASSERT((refused == forward::endpoint_notice{true, 1'500ms, ""}));
+        CPPUNIT_ASSERT((dialect.parse_notice("a1", {200, lines, ""}) == forward::endpoint_notice{true, {}, ""}));
+        CPPUNIT_ASSERT(dialect.parse_notice("a2", {503, lines, ""}) == forward::endpoint_notice{});
+        CPPUNIT_ASSERT(dialect.parse_notice("", {503, lines, ""}) == forward::endpoint_notice{});
+        CPPUNIT_ASSERT(dialect.parse_notice("a1", {421, lines, ""}) == forward::endpoint_notice{});
+        const auto order_answer = dialect.parse_notice("", {503, {{"Retry-After", "2"}}, ""});
+        CPPUNIT_ASSERT(order_answer.pause == 2s);
+    }
+
+    // Guards against an endpoint that stays away without end or stops a host by an odd value.
+    void unusable_notices_are_bounded()
+    {
+        const platform::platform_dialect dialect;
+        const auto read = [&](const char* name, const std::string& value) {
+            return dialect.parse_notice("a1", {503, {{"Attempt-Id", "a1"}, {name, value}}, ""});
+        };
+        for (const char* value : {"-1", "-1e999", "soon", "nan", "inf", "1s", "Fri, 31 Dec 1999 23:59:59 GMT", "0x1"}) {
+            const auto notice = read("Retry-After", value);
+            CPPUNIT_ASSERT_MESSAGE(value, !notice.pause);
+            CPPUNIT_ASSERT_EQUAL(std::string{value}, notice.unusable_value);
+        }
+        for (const std::string value : {"300.1", "1e999", "99999999999999999999"}) {
+            const auto notice = read("Retry-After", value);
+            CPPUNIT_ASSERT_MESSAGE(value, notice.pause == forward::endpoint_notice::max_pause);
+            CPPUNIT_ASSERT_EQUAL(value, notice.unusable_value);
+        }
+        CPPUNIT_ASSERT(read("Retry-After", "1e-999").pause == 0ms);
+        CPPUNIT_ASSERT(read("Retry-After", "0.0001").pause == 1ms);
+        for (const char* value : {"yes", "-1", "2", "99999999999999999999"})
+            CPPUNIT_ASSERT_MESSAGE(value, !read("Server-Leaving", value).is_leaving);
+        CPPUNIT_ASSERT(read("Server-Leaving", "0") == forward::endpoint_notice{});
+    }
+
     void error_responses_carry_retry_after()
     {
         const platform::platform_dialect dialect;
