Soak: engines that leave and that ask for a pause

The soak plays both by a random sequence of its own, so that the other faults of a seed stay as they were, and once more after the faults: an engine leaves by its word alone while the store does not answer, and one refuses with a pause. `notice_checker` then judges every call that engines received, by host: no request that its caller sent later than 2 s after the host had passed on the answer of a leaving endpoint, unless the host was restarted or paused since; at most two calls from half a second after a refusal to the end of its pause, unless the host or the link was disturbed.

End of faults: engines that were leaving are started again, since they would serve nothing in the checks that follow; the others stay as they were.

--- a/tests/forward/test_endpoint_notices.cpp
+++ b/tests/forward/test_endpoint_notices.cpp
@@ -192,6 +192,8 @@
         const model_demand needed{.service = "llm", .prompt_tokens = 3'000, .kv_capacity_tokens = 38'411};
         const auto found = this->chooser.choose_engines(needed, {this->none_excluded, 0.4, 0, true}, this->now);
         CPPUNIT_ASSERT(found && !found->prefill);
+        // Phase orders go to callable endpoints only.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->chooser.callable("llm", this->now).size());
         CPPUNIT_ASSERT(!this->chooser.earliest_pause_end("llm", this->now));
     }
 
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -103,6 +103,12 @@
     this->is_leaving = leaving;
 }
 
+bool standin_engine::says_it_is_leaving() const
+{
+    const std::scoped_lock lock{this->mutex};
+    return this->is_leaving;
+}
+
 void standin_engine::set_pause(std::optional<std::string> retry_after)
 {
     const std::scoped_lock lock{this->mutex};
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -87,6 +87,9 @@
     /// Makes all answers from now on say that the engine is leaving.
     void set_leaving(bool leaving);
 
+    /// Returns whether answers say that the engine is leaving.
+    bool says_it_is_leaving() const;
+
     /// Refuses all calls from now on as not run, with this value as the time to stay away; nothing ends that.
     void set_pause(std::optional<std::string> retry_after);
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -32,7 +32,8 @@
 } // namespace
 
 soak_run::soak_run(soak_plan plan)
-    : plan(plan), random(plan.seed), site(plain_endpoints, prefill_engines, decode_engines, plan.hosts)
+    : plan(plan), random(plan.seed), notice_random(~plan.seed),
+      site(plain_endpoints, prefill_engines, decode_engines, plan.hosts)
 {
     for (const auto& [id, engine] : this->site.engines) {
         this->proxies.push_back(std::make_unique<fault_proxy>(this->site.io.get_executor(), engine->address()));
@@ -51,6 +52,7 @@
     const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{this->plan.seconds};
     while (std::chrono::steady_clock::now() < until) {
         this->inject_fault();
+        this->inject_notice();
         std::this_thread::sleep_for(milliseconds{100 + this->random_below(500)});
     }
     this->end_faults();
@@ -63,6 +65,11 @@
     this->check_budget();
     this->check_config();
     this->check_older_config();
+    this->check_leaving_engine("p2", "/plain/");
+    this->check_leaving_engine("d3", "/stream/");
+    this->check_paused_engine("p1", "/once/");
+    this->check_paused_engine("d2", "/resume/");
+    this->check_notices();
     this->check_drain();
     this->check_cancellation();
     this->check_retries();
@@ -105,12 +112,28 @@
         const site_request request =
             this->make_request(own_random, "c" + std::to_string(caller_number) + "-" + std::to_string(i));
         const std::size_t host = own_random() % static_cast<std::size_t>(this->plan.hosts);
-        const site_response got = calls.wait(call_gateway(this->site.callers_address(host), request));
+        const site_response got = this->send_call(calls, request, host);
         const std::scoped_lock lock{this->mutex};
         this->ended_calls.push_back({request, got, request.disconnect_after > 0ms});
     }
 }
 
+site_response soak_run::send_call(caller& calls, const site_request& request, std::size_t host)
+{
+    noted_request noted;
+    noted.host = host;
+    noted.sent_at = runtime_clock::now();
+    noted.has_disconnected = request.disconnect_after > 0ms;
+    site_response got = calls.wait(call_gateway(this->site.callers_address(host), request));
+    noted.ended_at = runtime_clock::now();
+    const std::string_view signature = http::find_header(got.lines, "Server-Signature");
+    if (got.is_complete && http::find_header(got.lines, "Server-Leaving") == "1")
+        noted.leaving_engine = signature.substr(0, signature.find('.'));
+    const std::scoped_lock lock{this->mutex};
+    this->notices.record_request(request.id, noted);
+    return got;
+}
+
 void soak_run::inject_fault()
 {
     switch (this->random_below(5)) {
@@ -131,18 +154,23 @@
     const auto chosen = static_cast<std::size_t>(this->random_below(static_cast<int>(this->site.engines.size())));
     constexpr int engine_faults = static_cast<int>(engine_fault::expired_prefill_results) + 1;
     constexpr int proxy_faults = static_cast<int>(proxy_fault::stall) + 1;
-    if (this->random_below(2) == 0)
-        this->proxies[chosen]->set_fault(static_cast<proxy_fault>(this->random_below(proxy_faults)));
-    else
-        this->site.engines[chosen].second->set_fault(static_cast<engine_fault>(this->random_below(engine_faults)));
+    if (this->random_below(2) == 0) {
+        const auto fault = static_cast<proxy_fault>(this->random_below(proxy_faults));
+        this->notices.record_link(this->site.engines[chosen].first, fault != proxy_fault::none);
+        this->proxies[chosen]->set_fault(fault);
+        return;
+    }
+    this->site.engines[chosen].second->set_fault(static_cast<engine_fault>(this->random_below(engine_faults)));
 }
 
 void soak_run::inject_host_fault()
 {
     const auto host = static_cast<std::size_t>(this->random_below(this->plan.hosts));
     auto& gateway = this->site.gateway(host);
+    this->notices.record_host_fault(host);
     if (!gateway->is_running()) {
         this->site.start_gateway(host);
+        this->notices.record_host_fault(host);
         return;
     }
     switch (this->random_below(4)) {
@@ -161,6 +189,32 @@
         std::this_thread::sleep_for(milliseconds{200 + this->random_below(1'200)});
         gateway->signal(SIGCONT);
     }
+    this->notices.record_host_fault(host);
+}
+
+void soak_run::inject_notice()
+{
+    const std::size_t chosen = this->notice_random() % this->site.engines.size();
+    standin_engine& engine = *this->site.engines[chosen].second;
+    constexpr std::array pauses{"0.7", "1.2", "2.5"};
+    switch (this->notice_random() % 4) {
+    case 0:
+        return engine.set_pause(pauses[this->notice_random() % pauses.size()]);
+    case 1:
+        return engine.set_pause(std::nullopt);
+    case 2:
+        return engine.set_leaving(true);
+    default:
+        if (engine.says_it_is_leaving())
+            this->restart_engine(engine);
+    }
+}
+
+/// Replaces the engine by a new incarnation at the same address.
+void soak_run::restart_engine(standin_engine& engine)
+{
+    engine.restart();
+    this->site.store->put(engine.key(), engine.entry());
 }
 
 void soak_run::inject_store_fault()
@@ -186,7 +240,11 @@
 {
     for (std::size_t i = 0; i < this->proxies.size(); ++i) {
         this->proxies[i]->set_fault(proxy_fault::none);
+        this->notices.record_link(this->site.engines[i].first, false);
         this->site.engines[i].second->set_fault(engine_fault::none);
+        this->site.engines[i].second->set_pause(std::nullopt);
+        if (this->site.engines[i].second->says_it_is_leaving())
+            this->restart_engine(*this->site.engines[i].second);
     }
     this->site.store->set_fault(store_fault::none);
     // A host that received SIGTERM gets its full shutdown time before it is started again.
@@ -198,6 +256,7 @@
             this->site.gateway(host)->is_running())
             continue;
         this->site.start_gateway(host);
+        this->notices.record_host_fault(host);
     }
 }
 
@@ -408,6 +467,67 @@
     }
 }
 
+/// An engine announces in its answers alone that it leaves, while the store does not answer.
+void soak_run::check_leaving_engine(const std::string& id, const std::string& path)
+{
+    constexpr int probes_per_host = 30;
+    standin_engine& engine = this->site.engine(id);
+    engine.set_leaving(true);
+    this->site.store->set_fault(store_fault::unresponsive);
+    this->send_notice_probes(path, probes_per_host);
+    std::this_thread::sleep_for(notice_checker::drain_time + 100ms);
+    this->send_notice_probes(path, probes_per_host);
+    this->site.store->set_fault(store_fault::none);
+    this->restart_engine(engine);
+    const std::size_t before = engine.calls().size();
+    const auto is_used_again = [&] {
+        this->send_notice_probes(path, 1);
+        return engine.calls().size() > before;
+    };
+    if (!wait_until(is_used_again, 20s))
+        this->add_finding("endpoint " + id + " gets no requests after its restart");
+}
+
+void soak_run::check_paused_engine(const std::string& id, const std::string& path)
+{
+    constexpr auto pause = 2s;
+    constexpr int probes_per_host = 10;
+    this->site.engine(id).set_pause("2");
+    const auto until = std::chrono::steady_clock::now() + pause;
+    while (std::chrono::steady_clock::now() < until)
+        this->send_notice_probes(path, probes_per_host);
+    this->site.engine(id).set_pause(std::nullopt);
+}
+
+void soak_run::send_notice_probes(const std::string& path, int count_per_host)
+{
+    caller calls;
+    for (int i = 0; i < count_per_host * this->plan.hosts; ++i) {
+        site_request request;
+        request.id = "notice-" + std::to_string(++this->notice_probes);
+        request.path = path + request.id;
+        request.body = "body of " + request.id;
+        if (is_stream(request.path))
+            request.extra_headers = stream_headers();
+        this->send_call(calls, request, static_cast<std::size_t>(i % this->plan.hosts));
+    }
+}
+
+void soak_run::check_notices()
+{
+    std::size_t checked = 0;
+    for (const auto& [id, engine] : this->site.engines) {
+        const auto calls = engine->calls();
+        checked += this->notices.notices_checked(id, calls);
+        for (const std::string& finding : this->notices.check(id, calls))
+            this->add_finding(finding);
+    }
+    // Each host hears each of the four notices that are played after the other faults.
+    const auto expected = 4 * static_cast<std::size_t>(this->plan.hosts);
+    if (checked < expected)
+        this->add_finding("only " + std::to_string(checked) + " notices of endpoints reached a host");
+}
+
 void soak_run::add_finding(const std::string& what)
 {
     this->findings.push_back(what);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "fault_proxy.h"
+#include "notice_checker.h"
 #include "platform_site.h"
 
 namespace radishstep::testing {
@@ -41,11 +42,15 @@
 
     void start_hosts();
     void send_calls(int caller_number);
+    /// Sends a request and records it for the checks.
+    site_response send_call(caller& calls, const site_request& request, std::size_t host);
     site_request make_request(std::mt19937_64& random, const std::string& id) const;
     void inject_fault();
     void inject_engine_fault();
     void inject_host_fault();
     void inject_store_fault();
+    void inject_notice();
+    void restart_engine(standin_engine& engine);
     void change_config();
     void end_faults();
     void check_answers();
@@ -58,15 +63,23 @@
     void check_cancellation();
     void check_retries();
     void check_invalid_answers();
+    void check_leaving_engine(const std::string& id, const std::string& path);
+    void check_paused_engine(const std::string& id, const std::string& path);
+    void send_notice_probes(const std::string& path, int count_per_host);
+    void check_notices();
     void add_finding(const std::string& what);
     int random_below(int below);
 
     soak_plan plan;
     std::mt19937_64 random;
+    /// Separate, so that a seed's other faults stay the same.
+    std::mt19937_64 notice_random;
     platform_site site;
     std::vector<std::unique_ptr<fault_proxy>> proxies;
     std::mutex mutex;
     std::vector<ended_call> ended_calls;
+    notice_checker notices;
+    int notice_probes = 0;
     std::vector<std::string> findings;
     std::atomic<bool> is_over = false;
     int version = 1;
