A successor that starts in the millisecond of a notice is used; no orders to leaving or paused engines is tested

An engine that was started again within the same millisecond in which its predecessor had said that it leaves got no requests from that host for a minute: a notice also covers an incarnation that had started before the answer came, and "before" included the same millisecond, in which a new process cannot have answered yet.

The unit test's successor now starts in that millisecond instead of the one after, which is stricter.

`leaving_and_paused_engines_get_no_phase_orders` guards the filter that the phase controller already has; with orders chosen from all registered engines, planted in a scratch copy, it fails: "Expression: call.kind != "order"".

--- a/src/forward/endpoint_notices.cpp
+++ b/src/forward/endpoint_notices.cpp
@@ -146,7 +146,8 @@
 {
     if (target.started_ms <= heard.started_ms)
         return true;
-    return target.started_ms <= heard.last_heard_wall_ms && now < heard.last_heard_at + successor_doubt_time;
+    // An endpoint that started in the millisecond in which the answer came cannot have sent it.
+    return target.started_ms < heard.last_heard_wall_ms && now < heard.last_heard_at + successor_doubt_time;
 }
 
 } // namespace radishstep::forward
--- a/tests/forward/test_endpoint_notices.cpp
+++ b/tests/forward/test_endpoint_notices.cpp
@@ -98,7 +98,7 @@
         this->now += endpoint_notices::successor_doubt_time;
         CPPUNIT_ASSERT(this->select_plain());
         this->leave(listed);
-        CPPUNIT_ASSERT(!this->notices.forget_replaced(this->add("p0", 9'001), this->now).empty());
+        CPPUNIT_ASSERT(!this->notices.forget_replaced(this->add("p0", 9'000), this->now).empty());
         CPPUNIT_ASSERT(this->select_plain());
     }
 
--- a/tests/platform/test_engine_notices.cpp
+++ b/tests/platform/test_engine_notices.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(paused_engines_get_no_streams_until_their_pauses_end);
     CPPUNIT_TEST(callers_are_refused_at_once_while_all_endpoints_pause);
     CPPUNIT_TEST(started_stream_resumes_at_the_end_of_a_pause);
+    CPPUNIT_TEST(leaving_and_paused_engines_get_no_phase_orders);
     CPPUNIT_TEST(unusable_pauses_do_not_stop_requests);
     CPPUNIT_TEST_SUITE_END();
 
@@ -179,6 +180,30 @@
         CPPUNIT_ASSERT(paused.calls().at(before).received_at >= asked_at + 1'200ms);
     }
 
+    // Guards against orders to engines that are about to stop or asked this host to stay away.
+    void leaving_and_paused_engines_get_no_phase_orders()
+    {
+        this->start(1, 4, 4);
+        for (const char* id : {"r0", "r1"})
+            this->site->engine(id).set_leaving(true);
+        for (const char* id : {"r2", "r3"})
+            this->site->engine(id).set_pause("60");
+        const auto have_all_answered = [this] {
+            this->call("/stream/1");
+            return this->received_calls("r0") > 0 && this->received_calls("r1") > 0 && this->received_calls("r2") > 0 &&
+                   this->received_calls("r3") > 0;
+        };
+        CPPUNIT_ASSERT(wait_until(have_all_answered));
+        CPPUNIT_ASSERT(
+            wait_until([this] { return this->site->log().find("state=orders_held") != std::string::npos; }, 8s));
+        // The first orders follow 4 s after the host has become the leader.
+        std::this_thread::sleep_for(7s);
+        for (const char* id : {"r0", "r1", "r2", "r3"}) {
+            for (const engine_call& call : this->site->engine(id).calls())
+                CPPUNIT_ASSERT(call.kind != "order");
+        }
+    }
+
     // Guards against a host that fails on a value which is no time, or stays away without end.
     void unusable_pauses_do_not_stop_requests()
     {
