--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,10 @@
     time_point received_at;
     /// Port of the connection's other end, which tells connections apart.
     unsigned caller_port = 0;
+    /// Start time of the engine's incarnation that received the call.
+    std::int64_t started_ms = 0;
+    /// Set if the call was refused with a time to stay away.
+    std::optional<std::string> asked_pause;
 };
 
 /// What happens to the connection after a scripted answer.
@@ -114,6 +119,17 @@
     void set_deadly_part(const std::string& part);
     /// Answers calls for the engine's service as the script says, in place of the usual answers and faults.
     void set_script(answer_script script);
+    /// Makes all answers from now on say that the engine is leaving.
+    void set_leaving(bool leaving);
+
+    /// Returns whether answers say that the engine is leaving.
+    bool says_it_is_leaving() const;
+
+    /// Refuses all calls from now on as not run, with this value as the time to stay away; nothing ends that.
+    void set_pause(std::optional<std::string> retry_after);
+
+    /// Starts a new incarnation, with the same id and address, that is neither leaving nor refuses calls.
+    void restart();
 
     /// Returns all calls received so far.
     std::vector<engine_call> calls() const;
@@ -144,10 +160,12 @@
     http::headers response_headers(std::size_t call) const;
     std::size_t record_call(const http::request& request, const std::string& kind, const raw_connection& caller);
     void mark_run(std::size_t call);
+    void mark_pause(std::size_t call, const std::string& retry_after);
     void mark_caller_disconnected(std::size_t call);
     engine_fault current_fault() const;
     bool is_deadly(const http::request& request) const;
     answer_script current_script() const;
+    std::optional<std::string> current_pause() const;
 
     std::string id;
     std::string service;
@@ -158,6 +176,9 @@
     answer_script script;
     milliseconds work_time{5};
     std::string deadly_part;
+    bool is_leaving = false;
+    std::optional<std::string> pause;
+    std::int64_t started_ms = 1'700'000'000'000;
     std::vector<engine_call> all_calls;
     std::atomic<int> active_calls = 0;
     raw_server server;
