--- a/tests/platform/test_troubled_servers.cpp
+++ b/tests/platform/test_troubled_servers.cpp
@@ -92,7 +92,7 @@
     {
         this->start(0);
         this->site->engine("d0").set_fault(engine_fault::dripping_stream);
-        // Engines are chosen at random: with probability 1/64, six requests all miss the faulty one of the two.
+        // Engines are chosen at random: six requests may all miss the faulty one of the two.
         constexpr int most_streams = 60;
         for (int i = 0; i < 6 || (this->site->engine("d0").runs() == 0 && i < most_streams); ++i) {
             const std::string id = "attempt-" + std::to_string(i);
