Tests: let a host know its share of the retry budget before streams break

stream_goes_on_beside_another_one_when_a_configuration_drops_its_service failed once: not all broken streams had gone on within a second. Until a host has read the registered hosts it takes a twelfth of the retries, one or two, and up to five streams break in this test. It now waits for the registration first, as the tests of resumed streams do; its checks stay. The log of the failed run was not kept, so that this is the likely cause, not a shown one.

--- a/tests/platform/test_streams.cpp
+++ b/tests/platform/test_streams.cpp
@@ -156,6 +156,7 @@
     void stream_goes_on_beside_another_one_when_a_configuration_drops_its_service()
     {
         this->start(0, 2);
+        CPPUNIT_ASSERT(this->site->wait_until_registered());
         const auto ask = [this](const std::string& id) {
             site_request request;
             request.path = "/resume/1";
