Let a started stream wait for the retry budget and for an engine

What callers would see: a stream whose engine fails is cut at once, with most of its time left, when the retries of this moment are spent or the engine that replaces the failed one is not registered yet.

Change: a stream that has started, and so cannot be refused, gives its reserved places back, looks again every 100 ms and ends with its deadline, its caller or the host.

--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -36,6 +36,10 @@
 /// How often it is checked meanwhile whether the silent engine goes on.
 constexpr milliseconds handover_poll_interval{20};
 
+/// How often a started stream without an engine looks for one when there is none or the retry budget is spent: short
+/// beside the seconds after which callers abandon a stream.
+constexpr milliseconds started_stream_retry_interval{100};
+
 /// Longest body of an engine's response that is forwarded and is no event stream.
 constexpr std::size_t max_plain_body_bytes = 64UL * 1024;
 
@@ -108,6 +112,9 @@
                 next = co_await this->serve_with(*reserved);
             } else if (this->may_await_silent_engine()) {
                 next = co_await this->resume_silent_call();
+            } else if (reserved.error().kind == error_kind::no_endpoint && this->may_continue_started_stream()) {
+                this->forget_rejections();
+                co_await this->active.canceller.wait_for(started_stream_retry_interval);
             } else {
                 reason = reserved.error();
                 break;
@@ -684,16 +691,26 @@
     co_return co_await this->follow(std::move(call));
 }
 
-/// Ends the request, or gives the reserved capacity back and waits for a silent engine: it may go on, or the budget may
-/// allow a call later.
+/// Ends the request, or gives the reserved capacity back and waits: a silent engine may go on, or the budget may allow
+/// a call later.
 asio::awaitable<model_forwarder::next_step> model_forwarder::stop_without_budget(reservation& reserved)
 {
-    if (!this->may_await_silent_engine())
+    if (!this->may_await_silent_engine() && !this->may_continue_started_stream())
         co_return next_step::done;
     this->budget_error.reset();
     reserved.prefill_load.reset();
     reserved.decode_load.reset();
-    co_return co_await this->resume_silent_call();
+    if (this->may_await_silent_engine())
+        co_return co_await this->resume_silent_call();
+    co_await this->active.canceller.wait_for(started_stream_retry_interval);
+    co_return next_step::retry;
+}
+
+/// Returns whether a stream that has lost its engine waits on. It cannot be refused any more.
+bool model_forwarder::may_continue_started_stream() const
+{
+    return this->has_started_response && !this->context.stop_deadline &&
+           !this->active.canceller.is_caller_disconnected() && this->active.canceller.time_left() >= min_forward_time;
 }
 
 void model_forwarder::release_prefill()
--- a/src/forward/model_forwarder.h
+++ b/src/forward/model_forwarder.h
@@ -86,6 +86,7 @@
     bool must_return_to_silent_engine() const;
     boost::asio::awaitable<next_step> resume_silent_call();
     boost::asio::awaitable<next_step> stop_without_budget(reservation& reserved);
+    bool may_continue_started_stream() const;
     void end_prefill_use(engine_call& call);
     void release_prefill();
     bool try_spend_retry_budget(int delivered_calls);
--- a/tests/platform/test_silent_engines.cpp
+++ b/tests/platform/test_silent_engines.cpp
@@ -30,6 +30,8 @@
     CPPUNIT_TEST(silent_stream_without_budget_reserves_nothing);
     CPPUNIT_TEST(slow_stream_leaves_its_engine_for_a_fast_one);
     CPPUNIT_TEST(dripping_stream_leaves_its_engine_after_one_prefill_for_nothing);
+    CPPUNIT_TEST(broken_stream_waits_for_the_retry_budget);
+    CPPUNIT_TEST(broken_stream_waits_for_an_engine);
     CPPUNIT_TEST(stream_leaves_an_engine_that_stays_silent);
     CPPUNIT_TEST(caller_that_leaves_a_silent_stream_ends_its_run);
     CPPUNIT_TEST_SUITE_END();
@@ -217,6 +219,40 @@
         CPPUNIT_ASSERT(this->prefill_calls("prefill") <= 3);
     }
 
+    // Guards against streams that are cut at once when their engine fails while the retries of this moment are spent.
+    void broken_stream_waits_for_the_retry_budget()
+    {
+        this->start(2, engine_fault::cut_stream, 0);
+        CPPUNIT_ASSERT(this->site->wait_until_registered());
+        auto response = this->send("attempt-1");
+        this->idle_engine().set_fault(engine_fault::none);
+        CPPUNIT_ASSERT(wait_until([this] { return this->site->log().find("stream_broken") != std::string::npos; }));
+        for (const char* id : {"d0", "d1"})
+            this->site->engine(id).set_fault(engine_fault::none);
+        // Each request adds a fifth of a retry.
+        std::vector<std::future<site_response>> others;
+        for (int i = 0; i < 10; ++i)
+            others.push_back(this->send("other-" + std::to_string(i)));
+        this->check_whole("attempt-1", response.get());
+        for (auto& other : others)
+            CPPUNIT_ASSERT(other.get().is_complete);
+    }
+
+    // Guards against streams that are cut at once when their engine fails and its replacement isn't registered yet.
+    void broken_stream_waits_for_an_engine()
+    {
+        this->start(2, engine_fault::cut_stream);
+        standin_engine& other = this->site->engine("d1");
+        other.set_fault(engine_fault::none);
+        this->site->store->put(other.key(), other.entry("draining"));
+        CPPUNIT_ASSERT(wait_until([this] { return this->site->log().find("draining=yes") != std::string::npos; }));
+        auto response = this->send("attempt-1");
+        std::this_thread::sleep_for(1s);
+        CPPUNIT_ASSERT_EQUAL(1, this->site->engine("d0").runs());
+        this->site->store->put(other.key(), other.entry());
+        this->check_whole("attempt-1", response.get());
+    }
+
     // Guards against patience with an engine that never goes on while another one is free.
     void stream_leaves_an_engine_that_stays_silent()
     {
