--- a/tests/platform/test_silent_engines.cpp
+++ b/tests/platform/test_silent_engines.cpp
@@ -230,9 +230,9 @@
         for (const char* id : {"d0", "d1"})
             this->site->engine(id).set_fault(engine_fault::none);
         // Each request adds a fifth of a retry.
-        std::vector<std::future<site_response>> others;
-        for (int i = 0; i < 10; ++i)
-            others.push_back(this->send("other-" + std::to_string(i)));
+        std::vector<std::future<site_response>> others(10);
+        for (std::size_t i = 0; i < others.size(); ++i)
+            others[i] = this->send("other-" + std::to_string(i));
         this->check_whole("attempt-1", response.get());
         for (auto& other : others)
             CPPUNIT_ASSERT(other.get().is_complete);
