Crash records: hosts pass on what they heard, so that restarts lose none

Cause: a load report held only the crashes and starts that its host had seen itself. A host that restarted was told only of crashes that hosts still running had seen; once those two had been restarted, no restarted host knew both crashes, and the quarantine was gone there.

Change: hosts pass on records that they have heard, in a new field of the complete report, with their age, the parts that answers have started with since, and whether the endpoint answered after all. Such knowledge is only added to a record (a refuted record stays as such until it is too old), and of two ages the older one holds, so copies agree in any order and neither grow young nor undo a start or a refutation. A row is left out if three others sent it since the last complete report, at most eight are sent, and a heard record is never urgent news. About 16 hosts answer the first report of a host that has started with the records that matter most, quarantines first. A full table refuses records older than all it has, and records older than 840 of 900 s are not passed on, or hosts that pass a record to and fro would never forget it. Hosts of earlier versions ignore the new fields; their reports are read as before.

An assertion's comment in reports_quarantine_at_other_hosts_and_starts_end_it said that records of others are not passed on; the assertion stays: they are not reported as the host's own.

--- a/src/forward/crash_suspects.cpp
+++ b/src/forward/crash_suspects.cpp
@@ -19,6 +19,31 @@
     return std::ranges::all_of(wanted, [&parts](const std::string& part) { return contains(parts, part); });
 }
 
+/// Returns whether an answer to a prompt with the part started after the crash.
+bool is_cleared(const crash_record& record, const std::string& part)
+{
+    const auto found = std::ranges::find(record.parts, part);
+    return found != record.parts.end() && (record.cleared >> (found - record.parts.begin()) & 1U) != 0;
+}
+
+void set_cleared(crash_record& record, const std::string& part)
+{
+    for (std::size_t i = 0; i < record.parts.size(); ++i) {
+        if (record.parts[i] == part)
+            record.cleared |= 1U << i;
+    }
+}
+
+/// Adds what a copy of the record knows to it; returns whether the copy has all that is known here. A copy becomes
+/// younger on its way, never older.
+bool merge_copy(crash_record& record, const crash_record& copy)
+{
+    record.crashed_at = std::min(record.crashed_at, copy.crashed_at);
+    record.cleared |= copy.cleared;
+    record.is_refuted = record.is_refuted || copy.is_refuted;
+    return record.cleared == copy.cleared && record.is_refuted == copy.is_refuted;
+}
+
 /// Returns the number of crashes at different endpoints and times; `records` are in the order of time.
 int count_crashes(const std::vector<const crash_record*>& records)
 {
@@ -117,9 +142,10 @@
                                          time_point now)
 {
     this->alive_at[incarnation] = now;
-    std::erase_if(this->records, [&](const stored_record& stored) {
-        return stored.record.incarnation == incarnation && stored.record.crashed_at + refutation_time < now;
-    });
+    for (stored_record& stored : this->records) {
+        if (stored.record.incarnation == incarnation && stored.record.crashed_at + refutation_time < now)
+            stored.record.is_refuted = true;
+    }
     bool is_news = false;
     for (const std::string& part : parts) {
         known_start* start = this->start_of(part);
@@ -132,6 +158,7 @@
         }
         start->own_at = now;
         start->last_at = now;
+        this->clear_part(part, now);
     }
     if (is_news && this->on_news)
         this->on_news();
@@ -144,17 +171,19 @@
         if (record.parts.empty() || record.parts.size() > max_parts_per_record ||
             record.crashed_at + record_lifetime < now)
             continue;
+        if (stored_record* known = this->find_record(record)) {
+            if (merge_copy(known->record, record))
+                ++known->copies_heard;
+            this->clear_started_parts(known->record);
+            continue;
+        }
+        // A refuted record is kept, since hosts that have not seen the refutation go on passing the record on.
         const auto alive = this->alive_at.find(record.incarnation);
         if (alive != this->alive_at.end() && record.crashed_at + refutation_time < alive->second)
-            continue;
-        const bool is_known = std::ranges::any_of(this->records, [&record](const stored_record& stored) {
-            return stored.record.incarnation == record.incarnation && stored.record.parts == record.parts;
-        });
-        if (is_known)
-            continue;
+            record.is_refuted = true;
         for (const std::string& part : record.parts) {
             const auto start = this->starts.find(part);
-            if (start == this->starts.end() || !start->second.own_at)
+            if (record.is_refuted || start == this->starts.end() || !start->second.own_at)
                 continue;
             start->second.news_at = now;
             is_news = true;
@@ -174,6 +203,7 @@
             continue;
         if (known_start* start = this->start_of(each.part))
             start->last_at = std::max(start->last_at, each.started_at);
+        this->clear_part(each.part, each.started_at);
     }
 }
 
@@ -191,7 +221,8 @@
 {
     std::vector<crash_record> own;
     for (auto stored = this->records.rbegin(); stored != this->records.rend(); ++stored) {
-        if (stored->is_own && stored->confirmed_at >= since && own.size() < max_reported_records)
+        if (stored->is_own && !stored->record.is_refuted && stored->confirmed_at >= since &&
+            own.size() < max_reported_records)
             own.push_back(stored->record);
     }
     return own;
@@ -202,6 +233,8 @@
     std::vector<part_start> own;
     std::set<std::string> listed;
     for (auto stored = this->records.rbegin(); stored != this->records.rend(); ++stored) {
+        if (stored->record.is_refuted)
+            continue;
         for (const std::string& part : stored->record.parts) {
             const auto start = this->starts.find(part);
             if (start == this->starts.end() || !start->second.own_at || start->second.news_at < since ||
@@ -213,6 +246,41 @@
     return own;
 }
 
+std::vector<crash_record> crash_suspects::take_records_to_relay(time_point now)
+{
+    std::vector<stored_record*> due;
+    for (stored_record& stored : this->records) {
+        const bool is_sent_as_own = stored.is_own && !stored.record.is_refuted;
+        if (!is_sent_as_own && stored.copies_heard < sufficient_copies &&
+            now <= stored.record.crashed_at + max_relayed_age)
+            due.push_back(&stored);
+        stored.copies_heard = 0;
+    }
+    std::ranges::stable_sort(due, {}, &stored_record::relayed_at);
+    due.resize(std::min(due.size(), max_reported_records));
+    std::vector<crash_record> relayed;
+    relayed.reserve(due.size());
+    for (stored_record* stored : due) {
+        stored->relayed_at = now;
+        relayed.push_back(stored->record);
+    }
+    return relayed;
+}
+
+std::vector<crash_record> crash_suspects::records_for_newcomer(time_point now) const
+{
+    std::vector<crash_record> chosen;
+    for (const stored_record& stored : this->records) {
+        if (now <= stored.record.crashed_at + max_relayed_age)
+            chosen.push_back(stored.record);
+    }
+    std::ranges::sort(chosen, std::greater{}, [this](const crash_record& record) {
+        return std::pair{this->is_quarantined(record), record.crashed_at};
+    });
+    chosen.resize(std::min(chosen.size(), max_reported_records));
+    return chosen;
+}
+
 void crash_suspects::expire(time_point now)
 {
     std::erase_if(this->unconfirmed,
@@ -237,17 +305,62 @@
 
 void crash_suspects::store(stored_record added)
 {
-    if (this->records.size() >= max_records)
-        this->records.erase(std::ranges::min_element(
-            this->records, {}, [](const stored_record& stored) { return stored.record.crashed_at; }));
+    this->clear_started_parts(added.record);
+    if (stored_record* known = this->find_record(added.record)) {
+        merge_copy(known->record, added.record);
+        known->is_own = known->is_own || added.is_own;
+        known->confirmed_at = added.confirmed_at;
+        return;
+    }
+    if (this->records.size() >= max_records) {
+        const auto oldest = std::ranges::min_element(
+            this->records, {}, [](const stored_record& stored) { return stored.record.crashed_at; });
+        // Other hosts that still have it would bring back what was dropped.
+        if (added.record.crashed_at <= oldest->record.crashed_at)
+            return;
+        this->records.erase(oldest);
+    }
     this->records.push_back(std::move(added));
 }
 
+crash_suspects::stored_record* crash_suspects::find_record(const crash_record& wanted)
+{
+    const auto found = std::ranges::find_if(this->records, [&wanted](const stored_record& stored) {
+        return stored.record.incarnation == wanted.incarnation && stored.record.parts == wanted.parts;
+    });
+    return found == this->records.end() ? nullptr : &*found;
+}
+
+void crash_suspects::clear_started_parts(crash_record& record) const
+{
+    for (const std::string& part : record.parts) {
+        const auto start = this->starts.find(part);
+        if (start != this->starts.end() && record.crashed_at <= start->second.last_at)
+            set_cleared(record, part);
+    }
+}
+
+void crash_suspects::clear_part(const std::string& part, time_point started_at)
+{
+    for (stored_record& stored : this->records) {
+        if (stored.record.crashed_at <= started_at)
+            set_cleared(stored.record, part);
+    }
+}
+
+/// Returns whether the record is a reason of a quarantine that was announced.
+bool crash_suspects::is_quarantined(const crash_record& record) const
+{
+    return !record.is_refuted && std::ranges::any_of(record.parts, [&](const std::string& part) {
+        return this->announced.contains(part) && !is_cleared(record, part);
+    });
+}
+
 std::vector<const crash_record*> crash_suspects::records_with(const std::string& part, bool with_unconfirmed) const
 {
     std::vector<const crash_record*> found;
     for (const stored_record& stored : this->records) {
-        if (contains(stored.record.parts, part))
+        if (!stored.record.is_refuted && contains(stored.record.parts, part))
             found.push_back(&stored.record);
     }
     if (with_unconfirmed) {
@@ -265,9 +378,11 @@
 {
     auto crashed = this->records_with(part, with_unconfirmed);
     const auto start = this->starts.find(part);
-    const bool has_started = start != this->starts.end();
-    if (has_started)
-        std::erase_if(crashed, [&](const crash_record* record) { return record->crashed_at <= start->second.last_at; });
+    const bool is_start_known = start != this->starts.end();
+    const auto is_over = [&](const crash_record* record) {
+        return is_cleared(*record, part) || (is_start_known && record->crashed_at <= start->second.last_at);
+    };
+    const bool has_started = std::erase_if(crashed, is_over) > 0 || is_start_known;
     if (crashed.empty())
         return std::nullopt;
     const int needed = has_started ? crashes_to_quarantine_started_part : crashes_to_quarantine;
@@ -278,7 +393,8 @@
                             crashed.back()->crashed_at + quarantine_length(crashes - needed), crashed.back()->seen_by};
     std::erase_if(verdict.combination, [&](const std::string& other) {
         const auto other_start = this->starts.find(other);
-        return other_start != this->starts.end() && other_start->second.last_at > crashed.front()->crashed_at;
+        return std::ranges::any_of(crashed, [&](const crash_record* record) { return is_cleared(*record, other); }) ||
+               (other_start != this->starts.end() && other_start->second.last_at > crashed.front()->crashed_at);
     });
     return verdict;
 }
--- a/src/forward/crash_suspects.h
+++ b/src/forward/crash_suspects.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -11,15 +12,20 @@
 
 namespace radishstep::forward {
 
-/// A request whose answer had not started when its endpoint crashed.
+/// A request whose answer had not started when its endpoint crashed. The endpoint's incarnation and the parts identify
+/// it. What hosts learn of it later is only ever added, so that copies which meet in any order end up the same.
 struct crash_record
 {
     std::string incarnation;
     /// The parts of the request's prompt that other requests may share.
     std::vector<std::string> parts;
     time_point crashed_at;
-    /// The host that sent the request, for the log.
+    /// The host that told of it, for the log.
     std::string seen_by = "this host";
+    /// Bit i: an answer to a prompt with parts[i] has started since the crash.
+    std::uint32_t cleared = 0;
+    /// The endpoint has answered since, so it had not crashed.
+    bool is_refuted = false;
 
     bool operator==(const crash_record&) const = default;
 };
@@ -42,16 +48,17 @@
     std::vector<std::string> combination;
     int crashes = 0;
     time_point until;
-    /// The host that saw the last crash.
+    /// The host that told of the last crash.
     std::string seen_by;
 
     bool operator==(const part_quarantine&) const = default;
 };
 
 /// Finds prompt parts that crash each endpoint that starts an answer to them. A part is suspected while endpoints crash
-/// before the first event of requests with it and no answer with it starts anywhere. Hosts exchange their own records.
-/// A request is refused only if it has everything in common with the requests that crashed, so that requests which
-/// share the caller's other parts are served; each answer to one of those clears the parts that it has.
+/// before the first event of requests with it and no answer with it starts anywhere. Hosts exchange their records and
+/// pass on those of others, so that any host can bring a restarted one up to date. A request is refused only if it has
+/// everything in common with the requests that crashed, so that requests which share the caller's other parts are
+/// served; each answer to one of those clears the parts that it has.
 class crash_suspects
 {
 public:
@@ -74,6 +81,12 @@
     static constexpr std::chrono::seconds record_lifetime{900};
     /// How long started answers are remembered.
     static constexpr std::chrono::seconds start_lifetime{60};
+    /// Older records are not passed on. Hosts forget a record at slightly different times, and one that has forgotten
+    /// it must not get it back.
+    static constexpr std::chrono::seconds max_relayed_age{840};
+    /// A host does not pass on what this many others have passed on since its last complete report, so that the traffic
+    /// doesn't grow with the fleet.
+    static constexpr int sufficient_copies = 3;
 
     /// Bounds of the memory and of the reports to other hosts.
     static constexpr std::size_t max_records = 128;
@@ -99,7 +112,7 @@
     /// Records that an endpoint sent the first event of an answer.
     void record_answer_start(const std::string& incarnation, const std::vector<std::string>& parts, time_point now);
 
-    /// Applies records and starts that another host reported.
+    /// Applies records, its own or relayed, and starts that another host reported. A known record is no news.
     void apply_peer_records(const std::vector<crash_record>& reported, time_point now);
     void apply_peer_starts(const std::vector<part_start>& reported, time_point now);
 
@@ -109,13 +122,20 @@
     /// Returns whether a request that was itself lost may be sent again: unconfirmed crashes count, too.
     bool may_retry(const std::vector<std::string>& parts, time_point now) const;
 
-    /// Returns the newest records of this host that were confirmed at `since` or later.
+    /// Returns the newest records of this host that were confirmed at `since` or later and stand.
     std::vector<crash_record> own_records(time_point since) const;
 
     /// Returns the starts seen by this host of parts that are in any record, if they became of interest at `since` or
     /// later.
     std::vector<part_start> own_starts(time_point since) const;
 
+    /// Returns the records that this host passes on in its next complete report, besides its own ones: those that
+    /// others have passed on too rarely, the longest ago first. Starts a new count of the others' copies.
+    std::vector<crash_record> take_records_to_relay(time_point now);
+
+    /// Returns the records that matter most to a host that knows none: those of quarantines first, then the newest.
+    std::vector<crash_record> records_for_newcomer(time_point now) const;
+
     /// Drops what is too old; called several times a second.
     void expire(time_point now);
 
@@ -125,6 +145,9 @@
         crash_record record;
         bool is_own = false;
         time_point confirmed_at;
+        /// How many copies with all that this host knows were heard since the last complete report.
+        int copies_heard = 0;
+        time_point relayed_at{};
     };
 
     struct known_start
@@ -138,6 +161,10 @@
     };
 
     void store(stored_record added);
+    stored_record* find_record(const crash_record& wanted);
+    void clear_started_parts(crash_record& record) const;
+    void clear_part(const std::string& part, time_point started_at);
+    bool is_quarantined(const crash_record& record) const;
     std::vector<const crash_record*> records_with(const std::string& part, bool with_unconfirmed) const;
     std::optional<part_quarantine> judge(const std::string& part, bool with_unconfirmed) const;
     std::optional<time_point> refused_until(const std::vector<std::string>& parts, bool with_unconfirmed,
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -133,6 +133,10 @@
     };
     hooks.list_crash_records = [this](time_point since) { return this->context.suspects.own_records(since); };
     hooks.list_part_starts = [this](time_point since) { return this->context.suspects.own_starts(since); };
+    hooks.take_records_to_relay = [this] { return this->context.suspects.take_records_to_relay(runtime_clock::now()); };
+    hooks.list_records_for_newcomer = [this] {
+        return this->context.suspects.records_for_newcomer(runtime_clock::now());
+    };
     hooks.on_peer_crash_records = [this](const std::vector<crash_record>& records,
                                          const std::vector<part_start>& starts) {
         const time_point now = runtime_clock::now();
--- a/src/forward/load_report_exchange.cpp
+++ b/src/forward/load_report_exchange.cpp
@@ -1,6 +1,7 @@
 #include "forward/load_report_exchange.h"
 
 #include <algorithm>
+#include <ranges>
 #include <set>
 #include <utility>
 
@@ -53,6 +54,28 @@
         std::clamp(value, static_cast<std::int32_t>(lateness::on_time), static_cast<std::int32_t>(lateness::late)));
 }
 
+wire::CrashedRequest to_wire(const crash_record& record, time_point now)
+{
+    wire::CrashedRequest row;
+    row.endpoint = record.incarnation;
+    row.parts = record.parts;
+    row.age_ms = static_cast<std::int32_t>(to_ms(now - record.crashed_at));
+    if (record.cleared != 0)
+        row.__set_cleared(static_cast<std::int32_t>(record.cleared));
+    if (record.is_refuted)
+        row.__set_refuted(true);
+    return row;
+}
+
+/// Appends the records of a report's list, at most as many as a host of this version sends.
+void append_records(const std::vector<wire::CrashedRequest>& rows, const std::string& host, time_point now,
+                    std::vector<crash_record>& records)
+{
+    for (const wire::CrashedRequest& row : rows | std::views::take(crash_suspects::max_reported_records))
+        records.push_back({row.endpoint, row.parts, now - milliseconds{std::max(row.age_ms, 0)}, host,
+                           static_cast<std::uint32_t>(row.cleared), row.refuted});
+}
+
 wire::WaitingHead to_wire(const queue_head& head)
 {
     wire::WaitingHead row;
@@ -96,6 +119,7 @@
                   [now](const auto& entry) { return entry.second + unregistered_peer_lifetime < now; });
     std::erase_if(this->peers, [this](const auto& entry) { return !this->last_report_at.contains(entry.first); });
     std::set<std::string> unusable_hosts;
+    const std::size_t known_peers = this->peers.size();
     for (const auto& [name, address] : addresses) {
         if (name == this->host)
             continue;
@@ -109,6 +133,8 @@
             log_problem("peer_unusable", {{"host", name}, {"cause", describe(parsed.error())}});
     }
     this->unusable_hosts = std::move(unusable_hosts);
+    if (this->peers.size() > known_peers)
+        this->mark_changed(true);
 }
 
 void load_report_exchange::record_peer(const std::string& name, const asio::ip::udp::endpoint& sender)
@@ -117,6 +143,9 @@
     const auto known = this->peers.find(name);
     if (known != this->peers.end() && known->second == sender)
         return;
+    // So that the new peer answers soon with what this host may not know.
+    if (known == this->peers.end())
+        this->mark_changed(true);
     this->peers.insert_or_assign(name, sender);
     log_state("peer_learned", {{"host", name}, {"address", sender.address().to_string()}});
 }
@@ -238,12 +267,11 @@
     if (!this->hooks.list_crash_records)
         return;
     const time_point since = report.is_partial ? this->last_sent_at : time_point{};
-    for (crash_record& record : this->hooks.list_crash_records(since)) {
-        wire::CrashedRequest row;
-        row.endpoint = std::move(record.incarnation);
-        row.parts = std::move(record.parts);
-        row.age_ms = static_cast<std::int32_t>(to_ms(now - record.crashed_at));
-        report.crashed.push_back(std::move(row));
+    for (const crash_record& record : this->hooks.list_crash_records(since))
+        report.crashed.push_back(to_wire(record, now));
+    if (!report.is_partial && this->hooks.take_records_to_relay) {
+        for (const crash_record& record : this->hooks.take_records_to_relay())
+            report.relayed.push_back(to_wire(record, now));
     }
     for (part_start& start : this->hooks.list_part_starts(since)) {
         wire::StartedPart row;
@@ -253,17 +281,18 @@
     }
     report.__isset.crashed = !report.crashed.empty();
     report.__isset.started = !report.started.empty();
+    report.__isset.relayed = !report.relayed.empty();
 }
 
 void load_report_exchange::apply_crash_records(const wire::LoadReport& report, time_point now)
 {
-    if (!this->hooks.on_peer_crash_records || (report.crashed.empty() && report.started.empty()))
+    if (!this->hooks.on_peer_crash_records ||
+        (report.crashed.empty() && report.started.empty() && report.relayed.empty()))
         return;
     std::vector<crash_record> records;
-    for (const wire::CrashedRequest& row : report.crashed) {
-        if (records.size() < crash_suspects::max_reported_records)
-            records.push_back({row.endpoint, row.parts, now - milliseconds{std::max(row.age_ms, 0)}, report.host});
-    }
+    records.reserve(report.crashed.size() + report.relayed.size());
+    append_records(report.crashed, report.host, now, records);
+    append_records(report.relayed, report.host, now, records);
     std::vector<part_start> starts;
     for (const wire::StartedPart& row : report.started) {
         if (starts.size() < crash_suspects::max_reported_starts)
@@ -272,6 +301,34 @@
     this->hooks.on_peer_crash_records(records, starts);
 }
 
+/// Sends a host that has started, and knows nothing, the crash records that it needs before its first requests.
+void load_report_exchange::answer_newcomer(const std::string& name, const asio::ip::udp::endpoint& address)
+{
+    if (!this->hooks.list_records_for_newcomer)
+        return;
+    const std::size_t hosts_per_answer = (this->host_count() + hosts_per_newcomer - 1) / hosts_per_newcomer;
+    if (std::hash<std::string>{}(this->host + ' ' + name) % hosts_per_answer != 0)
+        return;
+    const time_point now = runtime_clock::now();
+    wire::LoadReport report;
+    for (const crash_record& record : this->hooks.list_records_for_newcomer())
+        report.relayed.push_back(to_wire(record, now));
+    if (report.relayed.empty())
+        return;
+    report.__isset.relayed = true;
+    report.host = this->host;
+    report.sequence = ++this->last_sequence;
+    report.is_partial = true;
+    for (const queue_head& head : this->hooks.list_queue_heads())
+        report.heads.push_back(to_wire(head));
+    const std::string bytes = wire::encode(report);
+    count("radishstep_forward_report_bytes_total", {}, static_cast<double>(bytes.size()));
+    boost::system::error_code failure;
+    this->socket.send_to(asio::buffer(bytes), address, 0, failure);
+    if (failure)
+        count("radishstep_forward_reports_unsent_total");
+}
+
 void load_report_exchange::apply_report(std::string_view bytes, const asio::ip::udp::endpoint& sender)
 {
     const auto report = wire::decode_load_report(bytes);
@@ -285,8 +342,13 @@
     constexpr std::int64_t max_reordered_reports = 1'000;
     if (report->sequence <= newest_sequence && report->sequence + max_reordered_reports > newest_sequence)
         return;
+    // A host's numbers start at its clock's milliseconds and grow more slowly than those, so a restart shows as a jump.
+    const bool is_newcomer = report->sequence >= newest_sequence + max_reordered_reports ||
+                             report->sequence + max_reordered_reports <= newest_sequence;
     newest_sequence = report->sequence;
     this->record_peer(report->host, sender);
+    if (is_newcomer)
+        this->answer_newcomer(report->host, sender);
     load_table loads;
     for (const wire::EndpointLoad& row : report->loads)
         loads.insert_or_assign(row.endpoint, endpoint_load{row.calls, row.tokens, row.unread});
--- a/src/forward/load_report_exchange.h
+++ b/src/forward/load_report_exchange.h
@@ -34,11 +34,15 @@
     std::function<revisions_by_prefix()> latest_revisions;
     /// Called with the newest revisions that another host has seen.
     std::function<void(const revisions_by_prefix&)> on_peer_revisions;
-    /// Called when another host has seen an endpoint down. May be empty, as may the next three.
+    /// Called when another host has seen an endpoint down. May be empty, as may the next five.
     std::function<void(const std::string& incarnation)> on_peer_endpoint_down;
     /// Return this host's crash records and started parts that are of interest since a time.
     std::function<std::vector<crash_record>(time_point since)> list_crash_records;
     std::function<std::vector<part_start>(time_point since)> list_part_starts;
+    /// Returns the crash records that a complete report passes on, besides the host's own ones.
+    std::function<std::vector<crash_record>()> take_records_to_relay;
+    /// Returns the crash records that a host which has just started needs first.
+    std::function<std::vector<crash_record>()> list_records_for_newcomer;
     /// Called with the crash records and started parts that another host has reported.
     std::function<void(const std::vector<crash_record>&, const std::vector<part_start>&)> on_peer_crash_records;
 };
@@ -67,6 +71,10 @@
     /// others see its registration, and all registrations vanish when leases expire during an outage.
     static constexpr milliseconds unregistered_peer_lifetime{10'000};
 
+    /// About so many hosts, in a larger fleet, answer the first report of a host that has started with the crash
+    /// records that they know.
+    static constexpr std::size_t hosts_per_newcomer = 16;
+
     /// Interval between full reports.
     static constexpr milliseconds full_report_interval{1'000};
 
@@ -104,6 +112,7 @@
     void add_revisions(wire::LoadReport& report);
     void add_crash_records(wire::LoadReport& report, time_point now);
     void apply_crash_records(const wire::LoadReport& report, time_point now);
+    void answer_newcomer(const std::string& name, const boost::asio::ip::udp::endpoint& address);
     void apply_report(std::string_view bytes, const boost::asio::ip::udp::endpoint& sender);
     void record_peer(const std::string& name, const boost::asio::ip::udp::endpoint& sender);
 
--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -186,6 +186,10 @@
   1: string endpoint
   2: list<string> parts
   3: i32 age_ms
+  // Bit i: an answer to a prompt with parts[i] has started since.
+  4: optional i32 cleared
+  // The endpoint has answered since.
+  5: optional bool refuted
 }
 
 // A part of a prompt that some CrashedRequest has, and when an answer to a prompt with it last started.
@@ -209,4 +213,6 @@
   // Both observed by the host itself; left out when empty.
   9: optional list<CrashedRequest> crashed
   10: optional list<StartedPart> started
+  // Known to the host, whoever observed them; hosts of earlier versions don't pass them on. Left out when empty.
+  11: optional list<CrashedRequest> relayed
 }
--- a/tests/forward/test_crash_suspects.cpp
+++ b/tests/forward/test_crash_suspects.cpp
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,15 @@
     CPPUNIT_TEST(reports_quarantine_at_other_hosts_and_starts_end_it);
     CPPUNIT_TEST(reported_crashes_of_answering_endpoints_are_dropped);
     CPPUNIT_TEST(tables_and_reports_are_bounded);
+    CPPUNIT_TEST(quarantine_outlives_the_hosts_that_saw_the_crashes);
+    CPPUNIT_TEST(last_host_with_the_records_informs_all_others);
+    CPPUNIT_TEST(records_keep_their_age_when_passed_on);
+    CPPUNIT_TEST(records_that_enough_hosts_pass_on_are_not_repeated);
+    CPPUNIT_TEST(cleared_part_stays_cleared_at_restarted_hosts);
+    CPPUNIT_TEST(refuted_record_is_not_brought_back);
+    CPPUNIT_TEST(forgotten_records_do_not_come_back);
+    CPPUNIT_TEST(newcomers_get_the_records_of_quarantines_first);
+    CPPUNIT_TEST(passed_on_records_are_bounded_and_take_turns);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -37,6 +47,19 @@
         this->suspects.record_endpoint_down(incarnation, this->now);
     }
 
+    /// Sends the complete report of one host to another.
+    void report(crash_suspects& from, crash_suspects& to) const
+    {
+        to.apply_peer_starts(from.own_starts({}), this->now);
+        to.apply_peer_records(from.own_records({}), this->now);
+        to.apply_peer_records(from.take_records_to_relay(this->now), this->now);
+    }
+
+    bool is_refused_by(const crash_suspects& host, const parts& asked) const
+    {
+        return host.quarantined_until(asked, this->now).has_value();
+    }
+
     bool is_refused(const parts& asked) const { return this->suspects.quarantined_until(asked, this->now).has_value(); }
 
     void second_crash_quarantines_what_the_requests_share()
@@ -160,7 +183,7 @@
         other.record_answer_start("s", {"q"}, this->now - 10s);
         other.apply_peer_records(this->suspects.own_records({}), this->now);
         CPPUNIT_ASSERT(other.quarantined_until({"p", "q"}, this->now).has_value());
-        // Records of others are not passed on.
+        // Records of others are not reported as the host's own.
         CPPUNIT_ASSERT(other.own_records({}).empty());
         CPPUNIT_ASSERT(other.own_starts({}) == (std::vector<part_start>{{"q", this->now - 10s}}));
         other.record_answer_start("s", {"q"}, this->now + 1s);
@@ -193,6 +216,204 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"e999"}, this->suspects.own_records({})[0].incarnation);
     }
 
+    // Failure: quarantines ended when the hosts that had seen the crashes were restarted, one after the other.
+    void quarantine_outlives_the_hosts_that_saw_the_crashes()
+    {
+        crash_suspects second;
+        crash_suspects third;
+        this->crash("a", {"p"});
+        this->now += 1s;
+        second.record_lost_request("b", {"p"}, this->now);
+        second.record_endpoint_down("b", this->now);
+        this->report(this->suspects, third);
+        this->report(second, third);
+        this->suspects = crash_suspects{};
+        this->report(third, this->suspects);
+        this->report(second, this->suspects);
+        CPPUNIT_ASSERT(this->is_refused({"p"}));
+        second = crash_suspects{};
+        this->report(this->suspects, second);
+        CPPUNIT_ASSERT(this->is_refused_by(second, {"p"}));
+        third = crash_suspects{};
+        this->report(second, third);
+        CPPUNIT_ASSERT(this->is_refused_by(third, {"p"}));
+    }
+
+    // Failure: a host that only had heard of the crashes, and was alone left after a restart of all others, kept them
+    // to itself.
+    void last_host_with_the_records_informs_all_others()
+    {
+        crash_suspects last;
+        this->crash("a", {"p"});
+        this->crash("b", {"p"});
+        for (int copy = 0; copy < 10; ++copy)
+            this->report(this->suspects, last);
+        last.take_records_to_relay(this->now);
+        this->now += 1s;
+        const auto relayed = last.take_records_to_relay(this->now);
+        std::vector<crash_suspects> restarted(20);
+        for (crash_suspects& host : restarted) {
+            host.apply_peer_records(relayed, this->now);
+            CPPUNIT_ASSERT(this->is_refused_by(host, {"p"}));
+        }
+    }
+
+    // Failure: a quarantine is prolonged each time that its records are passed on by a slow host.
+    void records_keep_their_age_when_passed_on()
+    {
+        this->crash("a", {"p"});
+        this->crash("b", {"p"});
+        const auto until = this->suspects.quarantined_until({"p"}, this->now);
+        std::vector<crash_record> late = this->suspects.own_records({});
+        for (crash_record& record : late)
+            record.crashed_at += 3s;
+        crash_suspects other;
+        other.apply_peer_records(late, this->now);
+        CPPUNIT_ASSERT(other.quarantined_until({"p"}, this->now) == *until + 3s);
+        this->report(this->suspects, other);
+        CPPUNIT_ASSERT(other.quarantined_until({"p"}, this->now) == until);
+        this->suspects.apply_peer_records(late, this->now);
+        other.apply_peer_records(late, this->now);
+        CPPUNIT_ASSERT(this->suspects.quarantined_until({"p"}, this->now) == until);
+        CPPUNIT_ASSERT(other.quarantined_until({"p"}, this->now) == until);
+    }
+
+    // Failure: each host of a large fleet repeats what all others repeat, or reports at once what it has only heard.
+    void records_that_enough_hosts_pass_on_are_not_repeated()
+    {
+        crash_suspects other;
+        int news = 0;
+        other.on_news = [&news] { ++news; };
+        CPPUNIT_ASSERT(other.take_records_to_relay(this->now).empty());
+        this->crash("a", {"p"});
+        this->report(this->suspects, other);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other.take_records_to_relay(this->now).size());
+        for (int copy = 0; copy < crash_suspects::sufficient_copies; ++copy)
+            this->report(this->suspects, other);
+        CPPUNIT_ASSERT(other.take_records_to_relay(this->now).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other.take_records_to_relay(this->now).size());
+        // Copies that lack what this host knows don't count.
+        other.record_answer_start("s", {"p"}, this->now + 1s);
+        for (int copy = 0; copy < crash_suspects::sufficient_copies; ++copy)
+            this->report(this->suspects, other);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other.take_records_to_relay(this->now).size());
+        CPPUNIT_ASSERT_EQUAL(1, news);
+    }
+
+    // Failure: a part that proved sound was refused again by hosts that had been restarted, and so by all.
+    void cleared_part_stays_cleared_at_restarted_hosts()
+    {
+        crash_suspects other;
+        crash_suspects restarted;
+        this->crash("a", {"p", "q"});
+        this->crash("b", {"p", "q"});
+        this->report(this->suspects, other);
+        this->now += 1s;
+        this->suspects.record_answer_start("s", {"q"}, this->now);
+        this->report(this->suspects, other);
+        this->suspects = crash_suspects{};
+        this->report(other, this->suspects);
+        other = crash_suspects{};
+        this->report(this->suspects, restarted);
+        CPPUNIT_ASSERT(!this->is_refused_by(restarted, {"q"}));
+        CPPUNIT_ASSERT(this->is_refused_by(restarted, {"p"}));
+        // The rest of the combination is what the others think it is.
+        CPPUNIT_ASSERT(this->is_refused_by(restarted, {"p", "x"}));
+    }
+
+    // Failure: a crash that never was is believed again, because hosts that did not see the endpoint answer pass it on.
+    void refuted_record_is_not_brought_back()
+    {
+        crash_suspects other;
+        this->crash("a", {"p"});
+        this->crash("b", {"p"});
+        this->report(this->suspects, other);
+        this->now += 5s;
+        this->suspects.record_answer_start("a", {"z"}, this->now);
+        CPPUNIT_ASSERT(!this->is_refused({"p"}));
+        this->now += crash_suspects::start_lifetime + 1s;
+        this->suspects.expire(this->now);
+        this->report(other, this->suspects);
+        CPPUNIT_ASSERT(!this->is_refused({"p"}));
+        this->report(this->suspects, other);
+        crash_suspects restarted;
+        this->report(other, restarted);
+        for (crash_suspects* host : {&this->suspects, &other, &restarted}) {
+            host->record_lost_request("c", {"p"}, this->now);
+            host->record_endpoint_down("c", this->now);
+        }
+        // Two crashes remain, of which one is new.
+        for (const crash_suspects* host : {&this->suspects, &other, &restarted})
+            CPPUNIT_ASSERT(host->quarantined_until({"p"}, this->now) == this->now + crash_suspects::first_quarantine);
+    }
+
+    // Failure: hosts that pass a record to and fro keep it for ever.
+    void forgotten_records_do_not_come_back()
+    {
+        std::vector<crash_suspects> hosts(4);
+        this->crash("a", {"p"});
+        this->report(this->suspects, hosts[0]);
+        const time_point last = this->now + crash_suspects::record_lifetime + 1min;
+        for (; this->now < last; this->now += 1s) {
+            for (crash_suspects& from : hosts) {
+                std::vector<crash_record> passed = from.take_records_to_relay(this->now);
+                // Each copy is younger by the time that it was under way.
+                for (crash_record& record : passed)
+                    record.crashed_at += 20ms;
+                for (crash_suspects& to : hosts) {
+                    to.apply_peer_records(passed, this->now);
+                    to.expire(this->now);
+                }
+            }
+        }
+        for (crash_suspects& host : hosts) {
+            host.record_lost_request("b", {"p"}, this->now);
+            host.record_endpoint_down("b", this->now);
+            CPPUNIT_ASSERT(!this->is_refused_by(host, {"p"}));
+        }
+    }
+
+    // Failure: a host that starts gets the newest records first, and none of the quarantine before its first requests.
+    void newcomers_get_the_records_of_quarantines_first()
+    {
+        this->crash("a", {"p"});
+        this->crash("b", {"p"});
+        for (int i = 0; i < 30; ++i)
+            this->crash("e" + std::to_string(i), {"x" + std::to_string(i)});
+        crash_suspects started;
+        const auto first = this->suspects.records_for_newcomer(this->now);
+        CPPUNIT_ASSERT_EQUAL(crash_suspects::max_reported_records, first.size());
+        started.apply_peer_records(first, this->now);
+        CPPUNIT_ASSERT(this->is_refused_by(started, {"p"}));
+    }
+
+    // Failure: reports grow beyond what small links carry, or hold the same few records all the time.
+    void passed_on_records_are_bounded_and_take_turns()
+    {
+        crash_suspects full;
+        for (int i = 0; i < 1'000; ++i) {
+            const std::string text = std::to_string(i);
+            this->now += 100ms;
+            full.apply_peer_records({{"e" + text, parts(10, "p" + text), this->now}}, this->now);
+            full.apply_peer_records({{"e" + text, parts(50, "q" + text), this->now}}, this->now);
+        }
+        // Older than all that are kept.
+        full.apply_peer_records({{"old", {"p"}, this->now - 10min}}, this->now);
+        std::set<std::string> passed_on;
+        for (std::size_t i = 0; i < crash_suspects::max_records / crash_suspects::max_reported_records; ++i) {
+            this->now += 1s;
+            const auto passed = full.take_records_to_relay(this->now);
+            CPPUNIT_ASSERT_EQUAL(crash_suspects::max_reported_records, passed.size());
+            for (const crash_record& record : passed)
+                passed_on.insert(record.incarnation);
+        }
+        CPPUNIT_ASSERT_EQUAL(crash_suspects::max_records, passed_on.size());
+        CPPUNIT_ASSERT(!passed_on.contains("old"));
+        const auto newest = full.records_for_newcomer(this->now);
+        CPPUNIT_ASSERT_EQUAL(crash_suspects::max_reported_records, newest.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"e999"}, newest.front().incarnation);
+    }
+
 private:
     crash_suspects suspects;
     time_point now = time_point{} + 1h;
--- a/tests/forward/test_watches_and_reports.cpp
+++ b/tests/forward/test_watches_and_reports.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST(reporting_host_is_a_peer_before_the_host_list_names_it);
     CPPUNIT_TEST(host_that_cannot_be_sent_reports_is_no_peer);
     CPPUNIT_TEST(report_without_crash_records_is_read);
+    CPPUNIT_TEST(started_host_learns_at_once_what_others_have_heard);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -128,7 +129,7 @@
         }
     }
 
-    // A host of an earlier version leaves out the last two fields.
+    // A host of an earlier version leaves out the last three fields.
     void report_without_crash_records_is_read()
     {
         wire::LoadReport report;
@@ -138,11 +139,66 @@
         const std::string bytes = wire::encode(report);
         report.__set_crashed({});
         report.__set_started({});
+        report.__set_relayed({});
         CPPUNIT_ASSERT(wire::encode(report).size() > bytes.size());
         const auto decoded = wire::decode_load_report(bytes);
         CPPUNIT_ASSERT(decoded.has_value());
         CPPUNIT_ASSERT_EQUAL(std::string{"older"}, decoded->host);
-        CPPUNIT_ASSERT(decoded->crashed.empty() && decoded->started.empty());
+        CPPUNIT_ASSERT(decoded->crashed.empty() && decoded->started.empty() && decoded->relayed.empty());
+    }
+
+    // Failure: a host that starts sends requests that crash engines until it hears of those crashes; only the hosts
+    // that had seen them told of them.
+    void started_host_learns_at_once_what_others_have_heard()
+    {
+        runtime_clock::resume();
+        struct test_host
+        {
+            fleet_load load;
+            endpoint_health health;
+            crash_suspects suspects;
+            std::unique_ptr<load_report_exchange> peers;
+        };
+        test_host known;
+        test_host started;
+        const auto open = [this](test_host& target, const std::string& name, const std::string& address) {
+            load_report_hooks hooks;
+            hooks.list_queue_heads = [] { return std::vector<queue_head>{}; };
+            hooks.latest_revisions = [] { return revisions_by_prefix{}; };
+            hooks.list_crash_records = [&](time_point since) { return target.suspects.own_records(since); };
+            hooks.list_part_starts = [&](time_point since) { return target.suspects.own_starts(since); };
+            hooks.take_records_to_relay = [&] { return target.suspects.take_records_to_relay(runtime_clock::now()); };
+            hooks.list_records_for_newcomer = [&] {
+                return target.suspects.records_for_newcomer(runtime_clock::now());
+            };
+            hooks.on_peer_crash_records = [&](const std::vector<crash_record>& records,
+                                              const std::vector<part_start>& starts) {
+                target.suspects.apply_peer_starts(starts, runtime_clock::now());
+                target.suspects.apply_peer_records(records, runtime_clock::now());
+            };
+            target.peers = std::make_unique<load_report_exchange>(this->io->get_executor(), name, target.load,
+                                                                  target.health, hooks);
+            CPPUNIT_ASSERT(target.peers->open(address));
+            asio::co_spawn(*this->io, target.peers->send_reports(), asio::detached);
+            asio::co_spawn(*this->io, target.peers->receive_reports(), asio::detached);
+        };
+        const time_point now = runtime_clock::now();
+        known.suspects.apply_peer_records(
+            {{"a", {"p", "q"}, now - 4s, "gone", 2}, {"b", {"p", "q"}, now - 2s, "gone", 2}}, now);
+        const reserved_address known_address;
+        const reserved_address started_address;
+        open(known, "known", known_address.text());
+        // Its first complete report is over.
+        this->io->run_for(100ms);
+        open(started, "started", started_address.text());
+        started.peers->set_peers({{"known", known_address.text()}});
+        this->io->run_for(100ms);
+        const auto is_refused = [&](const std::vector<std::string>& parts) {
+            return started.suspects.quarantined_until(parts, runtime_clock::now()).has_value();
+        };
+        CPPUNIT_ASSERT(is_refused({"p"}));
+        CPPUNIT_ASSERT(!is_refused({"q"}));
+        this->io.reset();
     }
 
     void missed_change_is_fetched_by_a_new_watch()
--- a/tests/platform/fuzz_decoders.cpp
+++ b/tests/platform/fuzz_decoders.cpp
@@ -107,8 +107,15 @@
     down.endpoint = "i-2@1";
     wire::SeenChange change;
     change.prefix = "servers/";
+    wire::CrashedRequest crashed;
+    crashed.endpoint = "engine-1";
+    crashed.parts = {"part-1", "part-2"};
+    crashed.__set_cleared(2);
+    crashed.__set_refuted(true);
     wire::LoadReport report;
     report.host = "host-1";
+    report.__set_crashed({crashed});
+    report.__set_relayed({crashed, crashed});
     report.loads = {load};
     report.heads = {head};
     report.down = {down};
--- a/tests/platform/test_crashing_prompts.cpp
+++ b/tests/platform/test_crashing_prompts.cpp
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <csignal>
 #include <memory>
 #include <string>
 #include <thread>
@@ -23,15 +24,19 @@
     CPPUNIT_TEST_SUITE(test_crashing_prompts);
     CPPUNIT_TEST(prompt_part_that_crashes_engines_is_refused_by_all_hosts);
     CPPUNIT_TEST(resets_by_running_engines_refuse_no_prompt);
+    CPPUNIT_TEST(quarantine_outlives_a_restart_of_the_hosts_that_saw_the_crashes);
+    CPPUNIT_TEST(host_that_heard_of_the_crashes_informs_all_that_restart_at_once);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     static constexpr int engine_count = 8;
     static constexpr std::size_t host_count = 2;
+    /// Not started by all cases; sees no crash.
+    static constexpr std::size_t third_host = host_count;
 
     void setUp() override
     {
-        this->site = std::make_unique<platform_site>(0, 0, engine_count, static_cast<int>(host_count));
+        this->site = std::make_unique<platform_site>(0, 0, engine_count, static_cast<int>(host_count) + 1);
         for (std::size_t host = 0; host < host_count; ++host) {
             this->site->start_gateway(host);
             CPPUNIT_ASSERT(this->site->wait_until_ready(5s, host));
@@ -108,6 +113,64 @@
         CPPUNIT_ASSERT_EQUAL(requests, runs);
     }
 
+    void start_host(std::size_t host)
+    {
+        this->site->start_gateway(host);
+        CPPUNIT_ASSERT(this->site->wait_until_ready(5s, host));
+    }
+
+    void stop_host(std::size_t host)
+    {
+        this->site->gateway(host)->signal(SIGTERM);
+        CPPUNIT_ASSERT_EQUAL(0, this->site->gateway(host)->wait(10));
+    }
+
+    /// Lets each of the first two hosts see a crash; the third hears of both.
+    void crash_one_engine_a_host()
+    {
+        this->start_host(third_host);
+        for (std::size_t host = 0; host < host_count; ++host) {
+            CPPUNIT_ASSERT(this->send_deadly(static_cast<int>(host), host, true));
+            std::this_thread::sleep_for(700ms);
+        }
+    }
+
+    /// Sends a deadly and a sound request to each host; returns how many of the deadly ones reached engines.
+    int count_deadly_runs()
+    {
+        int runs = 0;
+        for (std::size_t host = 0; host <= third_host; ++host) {
+            const int number = 100 + static_cast<int>(host);
+            runs += this->send_deadly(number, host, true) ? 1 : 0;
+            CPPUNIT_ASSERT_EQUAL(200U, this->send_sound(number, host).status);
+        }
+        return runs;
+    }
+
+    // Failure: quarantines ended when the hosts that had seen the crashes were restarted, one after the other.
+    void quarantine_outlives_a_restart_of_the_hosts_that_saw_the_crashes()
+    {
+        this->crash_one_engine_a_host();
+        for (std::size_t host = 0; host < host_count; ++host) {
+            this->stop_host(host);
+            this->start_host(host);
+            std::this_thread::sleep_for(1'500ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, this->count_deadly_runs());
+    }
+
+    // Failure: a host that had heard of the crashes kept them to itself when all others were restarted at once.
+    void host_that_heard_of_the_crashes_informs_all_that_restart_at_once()
+    {
+        this->crash_one_engine_a_host();
+        for (std::size_t host = 0; host < host_count; ++host)
+            this->site->gateway(host)->kill();
+        for (std::size_t host = 0; host < host_count; ++host)
+            this->start_host(host);
+        std::this_thread::sleep_for(1'500ms);
+        CPPUNIT_ASSERT_EQUAL(0, this->count_deadly_runs());
+    }
+
 private:
     std::unique_ptr<platform_site> site;
     unsigned last_status = 0;
