--- a/src/base/text.cpp
+++ b/src/base/text.cpp
@@ -1,5 +1,6 @@
 #include "base/text.h"
 
+#include <algorithm>
 #include <charconv>
 #include <vector>
 
@@ -21,6 +22,11 @@
     return true;
 }
 
+bool is_visible_ascii(std::string_view text)
+{
+    return std::ranges::all_of(text, [](char character) { return character > ' ' && character <= '~'; });
+}
+
 std::string to_base64(std::string_view bytes)
 {
     std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
--- a/src/base/text.h
+++ b/src/base/text.h
@@ -10,6 +10,9 @@
 /// Returns true when `bytes` is well-formed UTF-8.
 bool is_utf8(std::string_view bytes);
 
+/// Returns true when `text` consists of visible ASCII characters only, so that it can be sent in a header or a path.
+bool is_visible_ascii(std::string_view text);
+
 /// Returns the Base64 form of `bytes`.
 std::string to_base64(std::string_view bytes);
 
