Heed what engines say in cut answers and in answers to releases

What engines would see: one that refused a call with a pause of 3 s, in an answer whose body broke off or stalled, got two more calls from that host within 2.8 s; nothing kept it from more under load, for as long as the body stalled. One that said in its answer to the release of a prefill result that it is leaving, or wants a pause, got the next prompt all the same. Cause: what an answer says of its engine was read once the whole answer had arrived, and not at all from answers to releases. Change: the HTTP client hands over the head of a response as soon as it is there (call_options::on_head), and plain, prefill and release calls and orders read notices from it; decode calls did so already. The stand-in engines say in answers to orders and releases that they are leaving, and refuse both while they pause.

--- a/src/forward/endpoint_notice.h
+++ b/src/forward/endpoint_notice.h
@@ -8,7 +8,7 @@
 namespace radishstep::forward {
 
 /// The kind of call whose answer carried a notice.
-enum class call_kind { plain, prefill, decode, phase_order };
+enum class call_kind { plain, prefill, decode, release, phase_order };
 
 /// What an endpoint says of itself in the head of an answer, besides the answer itself.
 struct endpoint_notice
--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -36,6 +36,8 @@
         return "prefill answer";
     case call_kind::decode:
         return "decode answer";
+    case call_kind::release:
+        return "release answer";
     case call_kind::phase_order:
         return "order answer";
     }
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -79,12 +79,16 @@
     return text;
 }
 
-asio::awaitable<void> send_release_call(http::client& calls, std::string address, http::request call)
+asio::awaitable<void> send_release_call(forward_context& context, endpoint target, prefill_result result)
 {
     http::call_options options;
     options.connect_timeout = connect_timeout;
     options.idle_timeout = connect_timeout;
-    const auto answer = co_await calls.call(std::move(address), std::move(call), std::move(options));
+    options.on_head = [&context, &target](const http::response& head) {
+        context.record_notice(target, call_kind::release, "", head);
+    };
+    http::request call = context.dialect.make_release_call(result);
+    const auto answer = co_await context.http_client.call(result.address, std::move(call), std::move(options));
     if (!answer)
         count("radishstep_forward_release_failed_total");
 }
@@ -350,15 +354,17 @@
     options.is_matching_response = [this](const http::response& head) {
         return this->context.dialect.classify_answer(this->active.request, head) != answer_kind::wrong_request;
     };
+    options.on_head = [this, &target](const http::response& head) {
+        this->context.record_notice(target, call_kind::prefill, this->active.request.id, head);
+    };
     ++this->prefill_sends;
     http::request call =
         this->context.dialect.make_prefill_call(this->active.request, target, this->active.canceller.time_left());
     auto answer = co_await this->context.http_client.call(target.address, std::move(call), std::move(options));
     const time_point now = runtime_clock::now();
-    if (answer) {
-        this->context.record_notice(target, call_kind::prefill, this->active.request.id, *answer);
+    if (answer)
         this->log_call("prefill_ended", target, sent_at, *answer);
-    } else
+    else
         this->log_call("prefill_failed", target, sent_at, answer.error());
     this->record_delivery_or_refund(this->delivered_prefill_calls,
                                     answer.has_value() || may_have_arrived(answer.error().kind));
@@ -720,12 +726,9 @@
     // An engine that asked for a pause gets no release call either; the result expires by itself.
     if (this->context.notices.paused_until(this->prefilled->engine, runtime_clock::now()))
         return;
-    const prefill_result result = this->prefilled->result;
+    asio::co_spawn(this->context.executor,
+                   send_release_call(this->context, this->prefilled->engine, this->prefilled->result), asio::detached);
     this->prefilled.reset();
-    asio::co_spawn(
-        this->context.executor,
-        send_release_call(this->context.http_client, result.address, this->context.dialect.make_release_call(result)),
-        asio::detached);
 }
 
 /// Returns whether engines have crashed on the request's prompt; a stream whose events have started is past that.
--- a/src/forward/phase_controller.cpp
+++ b/src/forward/phase_controller.cpp
@@ -122,11 +122,12 @@
     options.connect_timeout = connect_timeout;
     options.idle_timeout = order_timeout;
     options.fresh_connection = true;
+    options.on_head = [this, &engine](const http::response& head) {
+        this->context.record_notice(engine, call_kind::phase_order, "", head);
+    };
     http::request call = this->context.dialect.make_phase_order(engine, endpoint_phase::decode, this->settings.host,
                                                                 this->fencing_token);
     const auto answer = co_await this->context.http_client.call(engine.address, std::move(call), std::move(options));
-    if (answer)
-        this->context.record_notice(engine, call_kind::phase_order, "", *answer);
     constexpr unsigned min_refusal_status = 300;
     const bool is_accepted = answer && answer->status < min_refusal_status;
     milliseconds pause = failed_order_pause;
--- a/src/forward/plain_forwarder.cpp
+++ b/src/forward/plain_forwarder.cpp
@@ -66,6 +66,9 @@
     options.is_matching_response = [this](const http::response& head) {
         return this->context.dialect.classify_answer(this->active.request, head) != answer_kind::wrong_request;
     };
+    options.on_head = [this, &target](const http::response& head) {
+        this->context.record_notice(target, call_kind::plain, this->active.request.id, head);
+    };
     this->tried_endpoints.insert(incarnation);
     ++this->outcome.send_count;
     this->outcome.endpoint = target.id;
@@ -113,7 +116,6 @@
 {
     const time_point now = runtime_clock::now();
     const std::string incarnation = target.incarnation();
-    this->context.record_notice(target, call_kind::plain, this->active.request.id, answer);
     ++this->delivered_calls;
     switch (this->context.dialect.classify_answer(this->active.request, answer)) {
     case answer_kind::not_executed:
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -364,13 +364,19 @@
     std::size_t bytes = 0;
 };
 
-asio::awaitable<result<void>> read_response(connection& conn, client::idle_pool& pool, response_parser& parser)
+asio::awaitable<result<void>> read_response(connection& conn, client::idle_pool& pool, response_parser& parser,
+                                            const call_options& options)
 {
     response_size size{pool};
+    bool is_head_reported = !options.on_head;
     while (!parser.is_done()) {
         error_code failure;
         const std::size_t received = co_await beast::http::async_read_some(
             conn.stream, conn.buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+        if (!is_head_reported && parser.is_header_done()) {
+            is_head_reported = true;
+            options.on_head(to_response(parser.get()));
+        }
         const bool is_too_long = failure == beast::http::error::body_limit;
         if (failure && !is_too_long)
             co_return to_call_error(failure);
@@ -406,7 +412,7 @@
     parser.body_limit(max_response_bytes);
     parser.header_limit(max_head_bytes);
     (*conn)->stream.expires_after(options.idle_timeout);
-    const auto read = co_await read_response(**conn, *pool, parser);
+    const auto read = co_await read_response(**conn, *pool, parser, options);
     clear_abort_hook(options);
     if (!read) {
         (*conn)->stream.close();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -47,6 +47,9 @@
     /// Returns whether a response belongs to this call. If it returns false, the call fails with
     /// `protocol` and its connection is closed. Unset: every response is accepted. Checked by client::call() only.
     std::function<bool(const response&)> is_matching_response;
+    /// Called with the head of the response as soon as it has arrived, whether or not its body ever does. Used by
+    /// client::call() only.
+    std::function<void(const response& head)> on_head;
 };
 
 /// A response that is read in parts as it arrives. A read that takes longer than the read timeout fails with
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -217,15 +217,13 @@
 {
     const std::string expected_instance{http::find_header(request.lines, "Expect-Instance")};
     const bool is_prefill = http::find_header(request.lines, "Serving-Phase") == "prefill";
-    if (request.path() == "/order") {
-        this->record_call(request, "order", caller);
-        constexpr unsigned status_accepted = 202;
-        co_return co_await caller.write(http_answer(status_accepted, {}, ""));
-    }
-    if (request.path().starts_with("/kv-handle/")) {
-        this->record_call(request, "release", caller);
-        co_return co_await caller.write(http_answer(status_ok, {}, ""));
-    }
+    constexpr unsigned status_accepted = 202;
+    if (request.path() == "/order")
+        co_return co_await this->send_control_response(this->record_call(request, "order", caller), caller,
+                                                       status_accepted);
+    if (request.path().starts_with("/kv-handle/"))
+        co_return co_await this->send_control_response(this->record_call(request, "release", caller), caller,
+                                                       status_ok);
     const std::size_t call = this->record_call(request, is_prefill ? "prefill" : this->phase, caller);
     if (answer_script active_script = this->current_script())
         co_return co_await this->send_scripted_answer(call, caller, std::move(active_script));
@@ -258,6 +256,19 @@
     co_return co_await this->send_plain_response(call, caller);
 }
 
+asio::awaitable<bool> standin_engine::send_control_response(std::size_t call, raw_connection& caller, unsigned status)
+{
+    http::headers lines;
+    if (this->says_it_is_leaving())
+        lines.push_back({"Server-Leaving", "1"});
+    const auto retry_after = this->current_pause();
+    if (!retry_after)
+        co_return co_await caller.write(http_answer(status, lines, ""));
+    this->mark_pause(call, *retry_after);
+    lines.push_back({"Retry-After", *retry_after});
+    co_return co_await caller.write(http_answer(status_unavailable, lines, ""));
+}
+
 asio::awaitable<bool> standin_engine::simulate_work(std::size_t call, raw_connection& caller)
 {
     const active_guard working{this->active_calls};
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -153,6 +153,8 @@
     boost::asio::awaitable<bool> handle_request(const http::request& request, raw_connection& caller);
     static boost::asio::awaitable<void> send_without_end(raw_connection& caller, std::string bytes, milliseconds pause);
     boost::asio::awaitable<bool> send_scripted_answer(std::size_t call, raw_connection& caller, answer_script script);
+    /// Answers an order or a release, which carry no id.
+    boost::asio::awaitable<bool> send_control_response(std::size_t call, raw_connection& caller, unsigned status);
     boost::asio::awaitable<bool> send_plain_response(std::size_t call, raw_connection& caller);
     boost::asio::awaitable<bool> send_prefill_response(std::size_t call, raw_connection& caller);
     boost::asio::awaitable<bool> send_stream(std::size_t call, raw_connection& caller);
--- a/tests/platform/test_engine_notices.cpp
+++ b/tests/platform/test_engine_notices.cpp
@@ -1,6 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <future>
+#include <vector>
 
 #include "platform_site.h"
 
@@ -26,6 +29,9 @@
     CPPUNIT_TEST(started_stream_resumes_at_the_end_of_a_pause);
     CPPUNIT_TEST(leaving_and_paused_engines_get_no_phase_orders);
     CPPUNIT_TEST(unusable_pauses_do_not_stop_requests);
+    CPPUNIT_TEST(pause_of_a_refusal_without_its_end_is_heeded);
+    CPPUNIT_TEST(notices_in_answers_to_releases_are_heeded);
+    CPPUNIT_TEST(notices_in_answers_to_phase_orders_are_heeded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -224,6 +230,88 @@
         CPPUNIT_ASSERT(std::stod(std::string{http::find_header(refused.lines, "Retry-After")}) < 310);
     }
 
+    // Guards against calls to an endpoint whose refusal asked for a pause and broke off, or stalled, in its body.
+    void pause_of_a_refusal_without_its_end_is_heeded()
+    {
+        for (const answer_end end : {answer_end::close, answer_end::keep_open}) {
+            this->start(2, 0, 0);
+            standin_engine& paused = this->site->engine("p0");
+            paused.set_script([end](const engine_call& call) -> scripted_answer {
+                const http::headers lines{{"Attempt-Id", call.id}, {"Not-Executed", "1"}, {"Retry-After", "3"}};
+                std::string without_end = http_answer(status_unavailable, lines, "refused");
+                without_end.pop_back();
+                return {{without_end}, end, false};
+            });
+            site_request request;
+            request.deadline_ms = 300;
+            while (this->received_calls("p0") == 0)
+                this->site->call(request);
+            const time_point asked_at = paused.calls().back().received_at;
+            const std::size_t before = this->received_calls("p0");
+            while (runtime_clock::now() < asked_at + 2'800ms)
+                CPPUNIT_ASSERT_EQUAL(status_ok, this->site->call(request).status);
+            CPPUNIT_ASSERT_EQUAL(before, this->received_calls("p0"));
+            this->tearDown();
+        }
+    }
+
+    /// Lets a prefill engine's answers say nothing of itself, unless they answer orders or releases.
+    void say_nothing_in_prefill_answers(const std::string& id)
+    {
+        this->site->engine(id).set_script([](const engine_call& call) -> scripted_answer {
+            return {{http_answer(status_ok, {{"Attempt-Id", call.id}}, R"({"handle":"h1","tokens":800,"version":1})")}};
+        });
+    }
+
+    bool is_logged(const std::string& text) const { return this->site->log().find(text) != std::string::npos; }
+
+    std::ptrdiff_t calls_of_kind(const std::string& id, const std::string& kind)
+    {
+        const std::vector<engine_call> calls = this->site->engine(id).calls();
+        return std::ranges::count(calls, kind, &engine_call::kind);
+    }
+
+    // Guards against prefill calls to an engine that said it is leaving, or asked for a pause, when a prefill result
+    // was released.
+    void notices_in_answers_to_releases_are_heeded()
+    {
+        for (const bool is_pause : {false, true}) {
+            this->start(0, 1, 2);
+            this->say_nothing_in_prefill_answers("r0");
+            if (is_pause)
+                this->site->engine("r0").set_pause("30");
+            else
+                this->site->engine("r0").set_leaving(true);
+            for (const char* id : {"d0", "d1"})
+                this->site->engine(id).set_fault(engine_fault::shed);
+            this->call("/stream/1");
+            CPPUNIT_ASSERT(wait_until([this] { return this->calls_of_kind("r0", "release") == 1; }));
+            CPPUNIT_ASSERT(wait_until([this] { return this->is_logged("source=\"release answer\""); }));
+            const std::ptrdiff_t prefills = this->calls_of_kind("r0", "prefill");
+            for (const char* id : {"d0", "d1"})
+                this->site->engine(id).set_fault(engine_fault::none);
+            CPPUNIT_ASSERT(wait_until([this] { return this->call("/stream/1").is_complete; }));
+            CPPUNIT_ASSERT_EQUAL(prefills, this->calls_of_kind("r0", "prefill"));
+            this->tearDown();
+        }
+    }
+
+    // Guards against prefill calls and orders to an engine that said it is leaving when it took an order.
+    void notices_in_answers_to_phase_orders_are_heeded()
+    {
+        this->start(0, 4, 1);
+        for (const char* id : {"r0", "r1", "r2", "r3"}) {
+            this->say_nothing_in_prefill_answers(id);
+            this->site->engine(id).set_leaving(true);
+        }
+        CPPUNIT_ASSERT(wait_until([this] { return this->is_logged("source=\"order answer\""); }, 12s));
+        CPPUNIT_ASSERT(this->is_logged("state=endpoint_leaving endpoint=r"));
+        for (int i = 0; i < 12; ++i)
+            this->call("/stream/1");
+        for (const char* id : {"r0", "r1", "r2", "r3"})
+            CPPUNIT_ASSERT(this->calls_of_kind(id, "order") == 0 || this->calls_of_kind(id, "prefill") == 0);
+    }
+
 private:
     std::unique_ptr<platform_site> site;
     int last_attempt = 0;
