Decide about an answer by its head, not by fields after its body

What engines and callers would see: a request that may run once ran at two engines when the first one's answer, in chunks, had the field "Not-Executed: 1" after its last chunk. With "Content-Encoding" there, the caller got none of the answer. Cause: the HTTP library stores the fields that may follow the last chunk among those of the head, and the client read the head from there once the answer was whole. Change: the client keeps the head as it was when it was complete. Fields after the last chunk are dropped, as they always were from streams, whose head is read first.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -364,18 +364,22 @@
     std::size_t bytes = 0;
 };
 
-asio::awaitable<result<void>> read_response(connection& conn, client::idle_pool& pool, response_parser& parser,
-                                            const call_options& options)
+/// Reads the response and returns its head, without the fields that may follow the last chunk of its body.
+asio::awaitable<result<response>> read_response(connection& conn, client::idle_pool& pool, response_parser& parser,
+                                                const call_options& options)
 {
     response_size size{pool};
-    bool is_head_reported = !options.on_head;
+    response head;
+    bool has_head = false;
     while (!parser.is_done()) {
         error_code failure;
         const std::size_t received = co_await beast::http::async_read_some(
             conn.stream, conn.buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
-        if (!is_head_reported && parser.is_header_done()) {
-            is_head_reported = true;
-            options.on_head(to_response(parser.get()));
+        if (!has_head && parser.is_header_done()) {
+            has_head = true;
+            head = to_response(parser.get());
+            if (options.on_head)
+                options.on_head(head);
         }
         const bool is_too_long = failure == beast::http::error::body_limit;
         if (failure && !is_too_long)
@@ -387,7 +391,7 @@
                            "see the endpoint's own log");
         }
     }
-    co_return result<void>{};
+    co_return head;
 }
 
 } // namespace
@@ -412,14 +416,14 @@
     parser.body_limit(max_response_bytes);
     parser.header_limit(max_head_bytes);
     (*conn)->stream.expires_after(options.idle_timeout);
-    const auto read = co_await read_response(**conn, *pool, parser, options);
+    auto read = co_await read_response(**conn, *pool, parser, options);
     clear_abort_hook(options);
     if (!read) {
         (*conn)->stream.close();
         co_return tl::unexpected{read.error()};
     }
     auto message = parser.release();
-    response answer = to_response(message);
+    response answer = std::move(*read);
     answer.body = std::move(message.body());
     if (options.is_matching_response && !options.is_matching_response(answer))
         co_return fail(error_kind::protocol, "the response belongs to another call", "see the endpoint's own log");
--- a/tests/platform/test_unframed_answers.cpp
+++ b/tests/platform/test_unframed_answers.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(plain_answer_that_ends_with_its_connection_is_forwarded_whole);
     CPPUNIT_TEST(plain_answer_reset_before_its_end_is_not_forwarded);
     CPPUNIT_TEST(plain_answer_that_stays_open_is_not_complete);
+    CPPUNIT_TEST(fields_after_the_last_chunk_decide_nothing);
     CPPUNIT_TEST(announced_length_beyond_the_bound_costs_no_memory);
     CPPUNIT_TEST_SUITE_END();
 
@@ -61,6 +62,14 @@
         return this->site->call(request);
     }
 
+    int total_runs()
+    {
+        int sum = 0;
+        for (const auto& [id, engine] : this->site->engines)
+            sum += engine->runs();
+        return sum;
+    }
+
     /// Returns the answer to a streamed call: events up to number `last`, then `rest`.
     static std::string stream_answer(const engine_call& call, answer_builder build, int last, const std::string& rest)
     {
@@ -202,6 +211,25 @@
         CPPUNIT_ASSERT_EQUAL(status_ok, this->call("/once/1").status);
     }
 
+    // Guards against a field after an answer's last chunk that decides as if it stood in the head: a request that ran
+    // would run again, or its caller would not get the answer.
+    void fields_after_the_last_chunk_decide_nothing()
+    {
+        for (const std::string field : {"Not-Executed: 1", "Content-Encoding: gzip"}) {
+            this->set_script([field](const engine_call& call) -> scripted_answer {
+                std::string bytes = chunked_answer(status_ok, engine_headers(call), "whole answer");
+                const std::size_t last_line_end = bytes.size() - 2;
+                bytes.insert(last_line_end, field + "\r\n");
+                return {{bytes}};
+            });
+            const int runs_before = this->total_runs();
+            const site_response response = this->call("/once/1");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(field, 1, this->total_runs() - runs_before);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(field, status_ok, response.status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(field, std::string{"whole answer"}, response.body);
+        }
+    }
+
 private:
     std::unique_ptr<platform_site> site;
 };
