Let a started stream outlast the sends of a request

What callers saw: a begun stream whose engine broke was cut 0.8 s later, with 9 s left, because the only other engine was full at that time.

Cause: the limit of 8 sends a request ended it. The limit keeps a request that can still be refused from going round; a begun stream cannot be refused, only cut. With one engine that rejects it every 100 ms, it lasts 0.7 s.

--- a/src/forward/model_forwarder.h
+++ b/src/forward/model_forwarder.h
@@ -87,6 +87,8 @@
     boost::asio::awaitable<next_step> resume_silent_call();
     boost::asio::awaitable<next_step> stop_without_budget(reservation& reserved);
     bool may_continue_started_stream() const;
+    bool has_used_up_sends() const;
+    boost::asio::awaitable<void> pause_before_send();
     void end_prefill_use(engine_call& call);
     void release_prefill();
     bool try_spend_retry_budget(int delivered_calls);
@@ -116,6 +118,7 @@
     /// Calls that reached an engine or may have reached it.
     int delivered_prefill_calls = 0;
     int delivered_decode_calls = 0;
+    milliseconds next_send_pause{0};
     /// Set when the retry budget allows no further call.
     std::optional<error> budget_error;
 };
--- a/tests/platform/test_silent_engines.cpp
+++ b/tests/platform/test_silent_engines.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(dripping_stream_leaves_its_engine_after_one_prefill_for_nothing);
     CPPUNIT_TEST(broken_stream_waits_for_the_retry_budget);
     CPPUNIT_TEST(broken_stream_waits_for_an_engine);
+    CPPUNIT_TEST(broken_stream_waits_for_room_at_an_engine_that_rejects_it);
     CPPUNIT_TEST(stream_leaves_an_engine_that_stays_silent);
     CPPUNIT_TEST(caller_that_leaves_a_silent_stream_ends_its_run);
     CPPUNIT_TEST_SUITE_END();
@@ -253,6 +254,24 @@
         this->check_whole("attempt-1", response.get());
     }
 
+    // Guards against streams that are cut within a second, with time left, because the engine at which they are to go
+    // on is full for some seconds and rejects them as often as one request may be sent.
+    void broken_stream_waits_for_room_at_an_engine_that_rejects_it()
+    {
+        this->start(2, engine_fault::cut_stream);
+        CPPUNIT_ASSERT(this->site->wait_until_registered());
+        for (const char* id : {"d0", "d1"})
+            this->site->engine(id).set_work_time(50ms);
+        auto response = this->send("attempt-1");
+        standin_engine& other = this->idle_engine();
+        other.set_fault(engine_fault::shed);
+        std::this_thread::sleep_for(3s);
+        const std::size_t rejected_calls = other.calls().size();
+        other.set_fault(engine_fault::none);
+        this->check_whole("attempt-1", response.get());
+        CPPUNIT_ASSERT(rejected_calls <= 12);
+    }
+
     // Guards against patience with an engine that never goes on while another one is free.
     void stream_leaves_an_engine_that_stays_silent()
     {
