Keep a connection open whose caller was told so before a stop

What callers saw: a stream that was under way at a stop ended well, but the request that its caller sent next on the same connection got neither an answer nor a refusal; it crossed the close.

Cause: whether a connection stays open was asked twice, for the head of the answer and again at the answer's end. A stop between the two closed a connection whose head had said that it stays open, and for how many seconds.

Now the head decides. Once the stop has closed the idle connections, a connection ends after its answer unless its next request has arrived already; to wait longer would take requests in that the stop could cut.

The test stops inside an answer and sends a second request 100 ms after its end.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -196,10 +196,11 @@
     template <typename Message>
     void set_keep_alive(Message& message)
     {
-        message.keep_alive(this->may_keep_alive());
+        this->is_kept_open = this->may_keep_alive();
+        message.keep_alive(this->is_kept_open);
         this->announced_idle_time = std::chrono::floor<std::chrono::seconds>(
             std::max<milliseconds>(this->state->limits.idle_timeout - idle_announcement_margin, milliseconds{0}));
-        if (this->may_keep_alive() && this->announced_idle_time > std::chrono::seconds{0})
+        if (this->is_kept_open && this->announced_idle_time > std::chrono::seconds{0})
             message.set(beast::http::field::keep_alive, "timeout=" + std::to_string(this->announced_idle_time.count()));
     }
 
@@ -242,7 +243,15 @@
         const request incoming = to_request(parsed);
         co_await this->handle_request(incoming);
         ++this->handled_requests;
-        co_return !this->is_broken && !this->is_chunked_open && this->is_head_sent && this->may_keep_alive();
+        co_return !this->is_broken && !this->is_chunked_open && this->is_head_sent && this->stays_open();
+    }
+
+    /// Returns whether the connection waits for its next request. A stop that begins inside an answer does not close
+    /// it: the answer's head has told the caller that it stays open.
+    bool stays_open()
+    {
+        const bool has_next_request = this->buffer.size() > 0 || this->has_unread_bytes();
+        return this->is_kept_open && (!this->state->is_draining || has_next_request);
     }
 
     asio::awaitable<error_code> read_request(parser_type& parser)
@@ -431,6 +440,8 @@
     bool is_head_sent = false;
     bool is_chunked_open = false;
     bool is_broken = false;
+    /// What the latest answer's head told the caller.
+    bool is_kept_open = false;
 };
 
 void start_session(asio::ip::tcp::socket socket, const std::shared_ptr<server::shared_state>& state)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -54,10 +54,11 @@
     void start();
 
     /// Stops accepting connections, after those that callers have opened already; existing ones close after their
-    /// current or next response.
+    /// current response, or after the next one if its request has arrived by then.
     void drain();
 
-    /// Closes each connection after its next response; new connections are still accepted.
+    /// Closes each connection after the next response whose head is sent from now on and says so; new connections are
+    /// still accepted.
     void disable_keep_alive();
 
     /// Closes the connections that wait for their next request, except those on which one has arrived but is not read
--- a/tests/unit/test_http_server.cpp
+++ b/tests/unit/test_http_server.cpp
@@ -112,6 +112,13 @@
     asio::awaitable<void> handle(const http::request& incoming, http::reply& reply)
     {
         ++this->handled_requests;
+        if (incoming.path() == "/stop-inside-the-answer") {
+            http::response head;
+            co_await reply.begin(std::move(head));
+            this->server->disable_keep_alive();
+            co_await reply.finish();
+            co_return;
+        }
         if (incoming.path() == "/slow") {
             reply.on_caller_disconnected([this] { ++this->disconnects; });
             asio::steady_timer pause{this->context, std::chrono::milliseconds{200}};
@@ -223,6 +230,7 @@
     CPPUNIT_TEST(header_line_that_cannot_be_stored_is_refused);
     CPPUNIT_TEST(refusal_of_an_unread_body_is_not_followed_by_a_reset);
     CPPUNIT_TEST(request_that_arrives_before_the_idle_time_ends_is_answered);
+    CPPUNIT_TEST(request_after_a_stream_that_a_stop_met_is_answered);
     CPPUNIT_TEST_SUITE_END();
 
     void malformed_request_is_refused_with_400_and_not_handled()
@@ -345,6 +353,16 @@
             http::server_limits{}.idle_timeout - std::chrono::milliseconds{1}, std::chrono::milliseconds{2});
         CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200"));
     }
+
+    // Guards against a close right after a stream whose head, sent before the stop, said that the connection stays
+    // open: the caller's next request crosses it and gets no answer.
+    void request_after_a_stream_that_a_stop_met_is_answered()
+    {
+        test_server running;
+        const std::string answer = running.answer_after_pause("GET /stop-inside-the-answer HTTP/1.1\r\n\r\n",
+                                                              std::chrono::milliseconds{100}, "GET / HTTP/1.1\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "HTTP/1.1 200") && contains(answer, "Connection: close"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_http_server);
