Recognize whole requests that crash each endpoint that runs them

What callers saw: a request that crashes each endpoint as it begins to run, and that comes again with the same path, caller and body, ended one endpoint after the other, until sound requests of the service got 503. On processes with two hosts and eight endpoints, one such request every 0.6 s ended all eight: an idempotent plain one in four attempts, a non-idempotent one and a model request whose prompt parts sound requests share in eight.

Cause: crash_suspects knew parts of prompts alone. Plain calls recorded neither losses nor answers, and a model request without a deadly part was cleared by each sound request with its parts.

Change: two fingerprints of the whole request (what it asks; that and the headers that don't differ between attempts, so the caller) are parts beside those of its prompt, and plain calls record losses and answers, too. A request is refused only if it has everything in common with those that crashed, so the fingerprints narrow that to the request itself, and fall out where different requests crash on one part. Sound requests that crashes take along: any answer clears a fingerprint, one within the last minute makes three crashes necessary, and the first quarantine lasts five seconds. Recent answers are kept in a table of constant size, so that plain requests don't fill the table of prompt parts. A host whose answer came before a crash was confirmed now reports the answer with the crash.

The new cases of test_crash_suspects and test_request_fingerprint need the change to compile.

--- a/src/base/error.h
+++ b/src/base/error.h
@@ -22,7 +22,7 @@
     no_endpoint,
     host_leaving, // Not raised at present.
     poison_request,
-    quarantined,       // Engines crashed on a part of the prompt.
+    quarantined,       // Endpoints crashed on the request or a part of its prompt.
     claim_unavailable, // The key-value service, which stores the claims, does not answer.
     endpoint_failed,
     outcome_unknown,
--- a/src/base/text.cpp
+++ b/src/base/text.cpp
@@ -57,4 +57,12 @@
     return value;
 }
 
+std::string join(const std::vector<std::string>& items)
+{
+    std::string text;
+    for (const std::string& item : items)
+        text += (text.empty() ? "" : ",") + item;
+    return text;
+}
+
 } // namespace radishstep
--- a/src/base/text.h
+++ b/src/base/text.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace radishstep {
 
@@ -19,4 +20,7 @@
 /// Returns `text` as a decimal number, or nothing when any part of it is not.
 std::optional<std::int64_t> to_integer(std::string_view text);
 
+/// Returns the items with commas between them.
+std::string join(const std::vector<std::string>& items);
+
 } // namespace radishstep
--- a/src/forward/crash_suspects.cpp
+++ b/src/forward/crash_suspects.cpp
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include "forward/request_fingerprint.h"
+
 namespace radishstep::forward {
 
 namespace {
@@ -67,8 +69,10 @@
     return most;
 }
 
-std::chrono::seconds quarantine_length(int further_crashes)
+std::chrono::seconds quarantine_length(const std::string& part, int further_crashes)
 {
+    if (further_crashes == 0 && is_request_fingerprint(part))
+        return crash_suspects::first_request_quarantine;
     std::chrono::seconds length = crash_suspects::first_quarantine;
     for (int i = 0; i < further_crashes && length < crash_suspects::max_quarantine; ++i)
         length *= 2;
@@ -85,6 +89,7 @@
     crash_record lost{incarnation, parts, now};
     if (lost.parts.size() > max_parts_per_record)
         lost.parts.resize(max_parts_per_record);
+    this->recall_starts(lost.parts, now);
     if (this->unconfirmed.size() >= max_records)
         this->unconfirmed.erase(this->unconfirmed.begin());
     this->unconfirmed.push_back(std::move(lost));
@@ -107,6 +112,11 @@
     });
     for (const crash_record& record : confirmed) {
         this->store({record, true, now});
+        // Answers since the crash weren't news before it was confirmed.
+        for (const std::string& part : record.parts) {
+            if (const auto start = this->starts.find(part); start != this->starts.end())
+                start->second.news_at = now;
+        }
         this->announce_quarantines(record.parts, now);
     }
     if (!confirmed.empty() && this->on_news)
@@ -122,6 +132,11 @@
     });
     bool is_news = false;
     for (const std::string& part : parts) {
+        if (is_request_fingerprint(part)) {
+            this->answered_requests.record(part, now);
+            if (this->records_with(part, true).empty())
+                continue;
+        }
         known_start* start = this->start_of(part);
         if (start == nullptr)
             continue;
@@ -152,6 +167,7 @@
         });
         if (is_known)
             continue;
+        this->recall_starts(record.parts, now);
         for (const std::string& part : record.parts) {
             const auto start = this->starts.find(part);
             if (start == this->starts.end() || !start->second.own_at)
@@ -275,7 +291,8 @@
     if (crashes < needed)
         return std::nullopt;
     part_quarantine verdict{part, common_parts(crashed), crashes,
-                            crashed.back()->crashed_at + quarantine_length(crashes - needed), crashed.back()->seen_by};
+                            crashed.back()->crashed_at + quarantine_length(part, crashes - needed),
+                            crashed.back()->seen_by};
     std::erase_if(verdict.combination, [&](const std::string& other) {
         const auto other_start = this->starts.find(other);
         return other_start != this->starts.end() && other_start->second.last_at > crashed.front()->crashed_at;
@@ -308,6 +325,20 @@
     return &this->starts[part];
 }
 
+/// Adds the starts of fingerprints that a new record names, so that they last as long as the record.
+void crash_suspects::recall_starts(const std::vector<std::string>& parts, time_point now)
+{
+    for (const std::string& part : parts) {
+        if (!is_request_fingerprint(part) || this->starts.contains(part))
+            continue;
+        const auto started_at = this->answered_requests.last_start(part);
+        if (!started_at || *started_at + start_lifetime < now)
+            continue;
+        if (known_start* start = this->start_of(part))
+            *start = {started_at, *started_at, *started_at};
+    }
+}
+
 void crash_suspects::announce_quarantines(const std::vector<std::string>& parts, time_point now)
 {
     for (const std::string& part : parts) {
--- a/src/forward/crash_suspects.h
+++ b/src/forward/crash_suspects.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/runtime_clock.h"
+#include "forward/recent_starts.h"
 
 namespace radishstep::forward {
 
@@ -15,7 +16,7 @@
 struct crash_record
 {
     std::string incarnation;
-    /// The parts of the request's prompt that other requests may share.
+    /// The fingerprints of the whole request, and the parts of its prompt that other requests may share.
     std::vector<std::string> parts;
     time_point crashed_at;
     /// The host that sent the request, for the log.
@@ -24,7 +25,7 @@
     bool operator==(const crash_record&) const = default;
 };
 
-/// When an answer to a prompt with this part last started.
+/// When an answer to a request with this part last started.
 struct part_start
 {
     std::string part;
@@ -33,7 +34,7 @@
     bool operator==(const part_start&) const = default;
 };
 
-/// A combination of prompt parts on which endpoints crash; requests with all of them are refused.
+/// A combination of parts on which endpoints crash; requests with all of them are refused.
 struct part_quarantine
 {
     /// The suspected part.
@@ -48,7 +49,8 @@
     bool operator==(const part_quarantine&) const = default;
 };
 
-/// Finds prompt parts that crash each endpoint that starts an answer to them. A part is suspected while endpoints crash
+/// Finds prompt parts and whole requests that crash each endpoint that starts an answer to them. The fingerprints of a
+/// request are parts of it like those of its prompt. A part is suspected while endpoints crash
 /// before the first event of requests with it and no answer with it starts anywhere. Hosts exchange their own records.
 /// A request is refused only if it has everything in common with the requests that crashed, so that requests which
 /// share the caller's other parts are served; each answer to one of those clears the parts that it has.
@@ -70,6 +72,9 @@
     /// Length of a quarantine from the last crash. Doubles with each further crash up to the maximum.
     static constexpr std::chrono::seconds first_quarantine{60};
     static constexpr std::chrono::seconds max_quarantine{300};
+    /// The same for a whole request after the fewest crashes: a sound one that endpoints took along by chance, and that
+    /// nobody else sends, is refused no longer, and a deadly one shows itself by one crash more.
+    static constexpr std::chrono::seconds first_request_quarantine{5};
     /// How long crashes are remembered, so that one more crash after a quarantine renews it.
     static constexpr std::chrono::seconds record_lifetime{900};
     /// How long started answers are remembered.
@@ -143,12 +148,15 @@
     std::optional<time_point> refused_until(const std::vector<std::string>& parts, bool with_unconfirmed,
                                             time_point now) const;
     known_start* start_of(const std::string& part);
+    void recall_starts(const std::vector<std::string>& parts, time_point now);
     void announce_quarantines(const std::vector<std::string>& parts, time_point now);
 
     std::vector<stored_record> records;
     /// Requests whose endpoints are not known to be down.
     std::vector<crash_record> unconfirmed;
     std::map<std::string, known_start> starts;
+    /// Answered requests by fingerprint; `starts` has only those fingerprints that are in a record.
+    recent_starts answered_requests;
     /// When endpoints were last seen down, and when they last started an answer, by incarnation.
     std::map<std::string, time_point> down_at;
     std::map<std::string, time_point> alive_at;
--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/text.h"
 #include "forward/request_rules.h"
 
 namespace radishstep::forward {
@@ -13,12 +14,9 @@
 void report_quarantine(const part_quarantine& quarantine)
 {
     count("radishstep_forward_parts_quarantined_total");
-    std::string combination;
-    for (const std::string& part : quarantine.combination)
-        combination += (combination.empty() ? "" : ",") + part;
     const auto remaining = std::chrono::duration_cast<std::chrono::seconds>(quarantine.until - runtime_clock::now());
     log_state("part_quarantined", {{"part", quarantine.part},
-                                   {"combination", combination},
+                                   {"combination", join(quarantine.combination)},
                                    {"crashes", std::to_string(quarantine.crashes)},
                                    {"seen_by", quarantine.seen_by},
                                    {"seconds", std::to_string(remaining.count())}});
@@ -106,12 +104,19 @@
     this->health.record_outcome(incarnation, outcome, runtime_clock::now());
 }
 
-void forward_context::record_lost_request(const endpoint& target, const std::vector<std::string>& prompt_parts)
+void forward_context::record_lost_request(const endpoint& target, const std::vector<std::string>& traits)
 {
     if (!this->directory.accepts_work(target))
         return;
     count("radishstep_forward_lost_before_first_event_total");
-    this->suspects.record_lost_request(target.incarnation(), prompt_parts, runtime_clock::now());
+    this->suspects.record_lost_request(target.incarnation(), traits, runtime_clock::now());
+}
+
+bool forward_context::is_quarantined(const std::vector<std::string>& traits, bool may_have_run) const
+{
+    const time_point now = runtime_clock::now();
+    return may_have_run ? !this->suspects.may_retry(traits, now)
+                        : this->suspects.quarantined_until(traits, now).has_value();
 }
 
 void forward_context::mark_down(const std::string& incarnation)
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -35,7 +35,7 @@
     endpoint_notices notices;
     endpoint_chooser chooser;
     retry_budget budget;
-    /// Prompt parts on which engines crash.
+    /// Requests on which endpoints crash.
     crash_suspects suspects;
     /// Requests waiting for capacity at an endpoint, by service.
     std::map<std::string, request_queue> request_queues;
@@ -58,9 +58,13 @@
     /// Records a call that failed without an answer in the endpoint's health.
     void record_call_failure(const std::string& incarnation, error_kind kind);
 
-    /// Records in the suspects that a request's connection to an engine broke before the first event, unless the engine
-    /// was leaving as planned.
-    void record_lost_request(const endpoint& target, const std::vector<std::string>& prompt_parts);
+    /// Records in the suspects that a request's connection to an endpoint broke before its answer, of a stream before
+    /// the first event, unless the endpoint was leaving as planned.
+    void record_lost_request(const endpoint& target, const std::vector<std::string>& traits);
+
+    /// Returns whether a request must not be sent because endpoints have crashed on such ones. For one that may have
+    /// run already, crashes count that are not confirmed yet.
+    bool is_quarantined(const std::vector<std::string>& traits, bool may_have_run) const;
 
     /// Marks an endpoint as down and schedules an urgent report to the other hosts.
     void mark_down(const std::string& incarnation);
--- a/src/forward/forward_dialect.h
+++ b/src/forward/forward_dialect.h
@@ -29,6 +29,9 @@
     /// Ids of the prompt's parts that other requests may share, in order; the last part, which belongs to the request
     /// or its session, is left out.
     std::vector<std::string> prompt_parts;
+    /// What other requests may have in common with this one, by which those that crash endpoints are recognized: the
+    /// fingerprints of the whole request, then prompt_parts.
+    std::vector<std::string> traits;
     /// Priority of the request's route; 0 is the most urgent.
     int priority = 0;
     http::request original;
--- a/src/forward/forward_server.cpp
+++ b/src/forward/forward_server.cpp
@@ -106,7 +106,7 @@
         co_await this->refuse(parsed->id, reason, caller);
         co_return;
     }
-    if (const auto until = this->context.suspects.quarantined_until(parsed->prompt_parts, arrived_at)) {
+    if (const auto until = this->context.suspects.quarantined_until(parsed->traits, arrived_at)) {
         const auto retry_after = std::chrono::ceil<milliseconds>(*until - arrived_at);
         co_await this->refuse(parsed->id, quarantine_error(), caller, retry_after);
         co_return;
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/text.h"
 #include "forward/capacity_wait.h"
 #include "forward/request_rules.h"
 
@@ -71,14 +72,6 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(runtime_clock::now() - start).count());
 }
 
-std::string join(const std::vector<std::string>& ids)
-{
-    std::string text;
-    for (const std::string& id : ids)
-        text += (text.empty() ? "" : ",") + id;
-    return text;
-}
-
 asio::awaitable<void> send_release_call(http::client& calls, std::string address, http::request call)
 {
     http::call_options options;
@@ -528,8 +521,8 @@
         call->load->add_tokens((this->relay.event_count() - events_before) * this->tokens_per_event());
         if (!new_events.empty()) {
             if (!this->last_event_at)
-                this->context.suspects.record_answer_start(call->target.incarnation(),
-                                                           this->active.request.prompt_parts, runtime_clock::now());
+                this->context.suspects.record_answer_start(call->target.incarnation(), this->active.request.traits,
+                                                           runtime_clock::now());
             this->record_event_time();
             last_progress_at = runtime_clock::now();
             const bool is_written = co_await this->active.caller.write(std::move(new_events));
@@ -623,7 +616,7 @@
                                    {"prompt_parts", join(this->active.request.prompt_parts)},
                                    {"cause", describe(reason)}});
     if (reason.kind == error_kind::connection_lost && !this->relay.last_event_id())
-        this->context.record_lost_request(call.target, this->active.request.prompt_parts);
+        this->context.record_lost_request(call.target, this->active.request.traits);
     if (!this->active.canceller.is_caller_disconnected())
         this->context.record_call_failure(call.target.incarnation(), reason.kind);
     return next_step::retry;
@@ -728,15 +721,12 @@
         asio::detached);
 }
 
-/// Returns whether engines have crashed on the request's prompt; a stream whose events have started is past that.
+/// Returns whether engines have crashed on the request or its prompt; a stream whose events have started is past that.
 bool model_forwarder::is_quarantined() const
 {
-    const std::vector<std::string>& parts = this->active.request.prompt_parts;
-    const time_point now = runtime_clock::now();
     if (this->last_event_at)
         return false;
-    return this->run_count > 0 ? !this->context.suspects.may_retry(parts, now)
-                               : this->context.suspects.quarantined_until(parts, now).has_value();
+    return this->context.is_quarantined(this->active.request.traits, this->run_count > 0);
 }
 
 std::optional<error> model_forwarder::reason_to_stop() const
--- a/src/forward/plain_forwarder.cpp
+++ b/src/forward/plain_forwarder.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/text.h"
 #include "forward/capacity_wait.h"
 #include "forward/request_rules.h"
 
@@ -23,6 +24,8 @@
             this->stop_reason = to_error(*no_endpoint_cause);
             break;
         }
+        if (this->is_quarantined())
+            continue;
         if (this->delivered_calls > 0 && !this->context.budget.try_spend(this->active.service, runtime_clock::now())) {
             this->stop_reason =
                 error{error_kind::overloaded, "the retry budget is spent", "retry after the given time"};
@@ -105,6 +108,12 @@
     }
     if (this->active.canceller.is_caller_disconnected())
         return next_step::done;
+    if (reason.kind == error_kind::connection_lost) {
+        log_decision("request_lost", {{"request", this->active.request.id},
+                                      {"endpoint", target.id},
+                                      {"traits", join(this->active.request.traits)}});
+        this->context.record_lost_request(target, this->active.request.traits);
+    }
     this->context.record_call_failure(target.incarnation(), reason.kind);
     return next_step::retry;
 }
@@ -131,16 +140,24 @@
         break;
     }
     ++this->run_count;
+    this->context.suspects.record_answer_start(incarnation, this->active.request.traits, now);
     const bool is_success = answer.status < min_failure_status;
     this->context.health.record_outcome(incarnation, is_success ? call_outcome::answered : call_outcome::failed, now);
     this->last_answer = std::move(answer);
     return is_success || !this->active.matched_route.is_repeatable ? next_step::done : next_step::retry;
 }
 
+bool plain_forwarder::is_quarantined() const
+{
+    return this->context.is_quarantined(this->active.request.traits, this->run_count > 0);
+}
+
 std::optional<error> plain_forwarder::reason_to_stop()
 {
     if (this->active.canceller.is_caller_disconnected())
         return error{error_kind::caller_gone, "the caller disconnected", ""};
+    if (this->is_quarantined())
+        return quarantine_error();
     if (this->run_count > 0 && !this->active.matched_route.is_repeatable)
         return error{error_kind::outcome_unknown, "the endpoint did not answer and may have run the request", ""};
     if (this->run_count >= this->active.matched_route.max_endpoints)
--- a/src/forward/request_rules.cpp
+++ b/src/forward/request_rules.cpp
@@ -28,7 +28,7 @@
 
 error quarantine_error()
 {
-    return {error_kind::quarantined, "engines crashed on a part of this prompt", "change the prompt, or wait"};
+    return {error_kind::quarantined, "endpoints crashed on this request or a part of its prompt", "change it, or wait"};
 }
 
 error error_for_caller(const error& reason, bool may_have_run)
--- a/src/forward/request_rules.h
+++ b/src/forward/request_rules.h
@@ -20,7 +20,7 @@
 /// HTTP statuses from this one on count as endpoint failures.
 constexpr unsigned min_failure_status = 500;
 
-/// Returns the error for a request that is not sent because engines crashed on parts of its prompt.
+/// Returns the error for a request that is not sent because endpoints crashed on it or on parts of its prompt.
 error quarantine_error();
 
 /// Returns the error to send to the caller. If the request may have run, an error whose HTTP status means that it did
--- a/tests/forward/test_crash_suspects.cpp
+++ b/tests/forward/test_crash_suspects.cpp
@@ -25,6 +25,13 @@
     CPPUNIT_TEST(crash_after_a_quarantine_renews_it);
     CPPUNIT_TEST(reports_quarantine_at_other_hosts_and_starts_end_it);
     CPPUNIT_TEST(reported_crashes_of_answering_endpoints_are_dropped);
+    CPPUNIT_TEST(whole_request_is_refused_alone_where_its_parts_are_sound);
+    CPPUNIT_TEST(requests_with_one_deadly_part_share_no_fingerprint);
+    CPPUNIT_TEST(unrelated_requests_of_two_crashes_are_not_refused);
+    CPPUNIT_TEST(first_quarantine_of_a_whole_request_is_short);
+    CPPUNIT_TEST(whole_request_answered_lately_needs_one_crash_more);
+    CPPUNIT_TEST(answers_before_a_crash_is_confirmed_reach_other_hosts);
+    CPPUNIT_TEST(answers_to_plain_requests_leave_the_starts_of_parts);
     CPPUNIT_TEST(tables_and_reports_are_bounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -181,6 +188,108 @@
         CPPUNIT_ASSERT(!this->is_refused({"p"}));
     }
 
+    // Failure: a deadly request had the sound requests refused with which it shares all parts, or was cleared by them.
+    void whole_request_is_refused_alone_where_its_parts_are_sound()
+    {
+        const parts deadly{"request:a", "request:b", "first", "club"};
+        this->crash("a", deadly);
+        this->crash("b", deadly);
+        CPPUNIT_ASSERT(this->is_refused(deadly));
+        CPPUNIT_ASSERT(!this->is_refused({"request:c", "request:d", "first", "club"}));
+        this->suspects.record_answer_start("s", {"request:c", "request:d", "first", "club"}, this->now + 1ms);
+        this->now += 2ms;
+        CPPUNIT_ASSERT(this->is_refused(deadly));
+        // The same request of another caller clears what is asked, and not the caller's.
+        this->suspects.record_answer_start("s", {"request:a", "request:e"}, this->now);
+        this->now += 1ms;
+        CPPUNIT_ASSERT(this->is_refused(deadly));
+        this->suspects.record_answer_start("s", {"request:a", "request:b"}, this->now);
+        CPPUNIT_ASSERT(!this->is_refused(deadly));
+    }
+
+    // Failure: the fingerprints of the first requests narrowed the quarantine of a deadly part to them.
+    void requests_with_one_deadly_part_share_no_fingerprint()
+    {
+        this->crash("a", {"request:a", "first", "deadly"});
+        this->crash("b", {"request:b", "first", "deadly"});
+        CPPUNIT_ASSERT(this->is_refused({"request:c", "first", "deadly"}));
+        CPPUNIT_ASSERT(!this->is_refused({"request:a", "first"}));
+    }
+
+    // Failure: requests that two crashes took along were refused together.
+    void unrelated_requests_of_two_crashes_are_not_refused()
+    {
+        for (const std::string incarnation : {"a", "b"}) {
+            this->now += 1s;
+            for (const std::string request : {"request:x", "request:y"})
+                this->suspects.record_lost_request(incarnation, {request + incarnation}, this->now);
+            this->suspects.record_lost_request(incarnation, {"request:deadly"}, this->now);
+            this->suspects.record_endpoint_down(incarnation, this->now);
+        }
+        CPPUNIT_ASSERT(this->is_refused({"request:deadly"}));
+        for (const char* request : {"request:xa", "request:ya", "request:xb", "request:yb"})
+            CPPUNIT_ASSERT(!this->is_refused({request}));
+    }
+
+    // Failure: a sound request lost in two crashes was refused for a minute, since nobody could show that it is sound.
+    void first_quarantine_of_a_whole_request_is_short()
+    {
+        this->crash("a", {"request:a"});
+        this->crash("b", {"request:a"});
+        CPPUNIT_ASSERT(this->suspects.quarantined_until({"request:a"}, this->now) ==
+                       this->now + crash_suspects::first_request_quarantine);
+        this->now += crash_suspects::first_request_quarantine;
+        CPPUNIT_ASSERT(!this->is_refused({"request:a"}));
+        this->crash("c", {"request:a"});
+        CPPUNIT_ASSERT(this->suspects.quarantined_until({"request:a"}, this->now) ==
+                       this->now + 2 * crash_suspects::first_quarantine);
+    }
+
+    // Failure: a request that is answered all the time was refused after two crashes for another reason.
+    void whole_request_answered_lately_needs_one_crash_more()
+    {
+        this->suspects.record_answer_start("s", {"request:a"}, this->now);
+        this->crash("a", {"request:a"});
+        this->crash("b", {"request:a"});
+        CPPUNIT_ASSERT(!this->is_refused({"request:a"}));
+        this->crash("c", {"request:a"});
+        CPPUNIT_ASSERT(this->is_refused({"request:a"}));
+        // Also if another host reports the crashes of a request that this one has answered meanwhile.
+        this->suspects.record_answer_start("s", {"request:b"}, this->now);
+        this->suspects.apply_peer_records({{"d", {"request:b"}, this->now - 2s}, {"e", {"request:b"}, this->now - 1s}},
+                                          this->now);
+        CPPUNIT_ASSERT(!this->is_refused({"request:b"}));
+        // An answer of long ago is none.
+        this->suspects.record_answer_start("s", {"request:c"}, this->now);
+        this->now += crash_suspects::start_lifetime;
+        this->crash("f", {"request:c"});
+        this->crash("g", {"request:c"});
+        CPPUNIT_ASSERT(this->is_refused({"request:c"}));
+    }
+
+    // Failure: the host that saw the crash and then the answer reported the crash alone.
+    void answers_before_a_crash_is_confirmed_reach_other_hosts()
+    {
+        this->suspects.record_lost_request("a", {"request:a"}, this->now);
+        this->suspects.record_answer_start("s", {"request:a"}, this->now + 1s);
+        this->now += 2s;
+        this->suspects.record_endpoint_down("a", this->now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->suspects.own_records(this->now).size());
+        CPPUNIT_ASSERT(this->suspects.own_starts(this->now) ==
+                       (std::vector<part_start>{{"request:a", this->now - 1s}}));
+    }
+
+    // Failure: answers to plain requests filled the table in which the starts of prompt parts are remembered.
+    void answers_to_plain_requests_leave_the_starts_of_parts()
+    {
+        for (std::size_t i = 0; i < 2 * crash_suspects::max_known_parts; ++i)
+            this->suspects.record_answer_start("s", {"request:" + std::to_string(i)}, this->now);
+        this->suspects.record_answer_start("s", {"p"}, this->now);
+        this->crash("a", {"p"});
+        this->crash("b", {"p"});
+        CPPUNIT_ASSERT(!this->is_refused({"p"}));
+    }
+
     void tables_and_reports_are_bounded()
     {
         for (int i = 0; i < 1'000; ++i) {
--- a/tests/platform/raw_server.cpp
+++ b/tests/platform/raw_server.cpp
@@ -68,6 +68,14 @@
     this->listener.close(ignored);
 }
 
+void raw_server::reset_connections()
+{
+    for (const auto& known : this->connections) {
+        if (const auto open = known.lock())
+            open->reset();
+    }
+}
+
 asio::awaitable<void> raw_server::accept()
 {
     while (true) {
@@ -76,6 +84,8 @@
         if (failure)
             co_return;
         const auto caller = std::make_shared<raw_connection>(std::move(socket));
+        std::erase_if(this->connections, [](const auto& known) { return known.expired(); });
+        this->connections.push_back(caller);
         asio::co_spawn(this->listener.get_executor(), serve(caller, this->handler), asio::detached);
     }
 }
--- a/tests/platform/raw_server.h
+++ b/tests/platform/raw_server.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -41,18 +42,25 @@
 public:
     raw_server(const boost::asio::any_io_executor& executor, const std::string& address, raw_handler handler);
 
+    /// Returns the executor on which connections are served.
+    boost::asio::any_io_executor executor() { return this->listener.get_executor(); }
+
     /// Returns the listening address as "IP:port".
     std::string address() const;
 
     /// Stops accepting connections.
     void stop();
 
+    /// Resets all connections; called on the executor.
+    void reset_connections();
+
 private:
     boost::asio::awaitable<void> accept();
     static boost::asio::awaitable<void> serve(std::shared_ptr<raw_connection> caller, raw_handler handler);
 
     boost::asio::ip::tcp::acceptor listener;
     raw_handler handler;
+    std::vector<std::weak_ptr<raw_connection>> connections;
 };
 
 /// Returns an HTTP/1.1 response with a Content-Length header.
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 #include "base/pause.h"
@@ -107,6 +108,30 @@
            http::find_header(request.lines, "Prefix-Hash").find(this->deadly_part) != std::string_view::npos;
 }
 
+void standin_engine::set_deadly_request(std::function<bool(const http::request&)> is_deadly)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->deadly_request = std::move(is_deadly);
+}
+
+bool standin_engine::crashes_on(const http::request& request) const
+{
+    const std::scoped_lock lock{this->mutex};
+    return this->deadly_request && this->deadly_request(request);
+}
+
+void standin_engine::crash()
+{
+    asio::post(this->server.executor(), [this] { this->crash_now(); });
+}
+
+void standin_engine::crash_now()
+{
+    this->is_crashed = true;
+    this->server.stop();
+    this->server.reset_connections();
+}
+
 void standin_engine::set_script(answer_script new_script)
 {
     const std::scoped_lock lock{this->mutex};
@@ -251,6 +276,11 @@
         lines.push_back({"Retry-After", *retry_after});
         co_return co_await caller.write(http_answer(status_unavailable, lines, ""));
     }
+    if (!is_prefill && this->crashes_on(request)) {
+        this->mark_run(call);
+        this->crash_now();
+        co_return false;
+    }
     if (is_prefill)
         co_return co_await this->send_prefill_response(call, caller);
     if (this->phase == "decode")
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -117,6 +117,11 @@
 
     /// Makes streams on prompts with this part break before their first event, as if the engine crashed.
     void set_deadly_part(const std::string& part);
+    /// Makes the engine crash as it begins to run such a request.
+    void set_deadly_request(std::function<bool(const http::request&)> is_deadly);
+    /// Resets all connections and refuses new ones from now on.
+    void crash();
+    bool has_crashed() const { return this->is_crashed; }
     /// Answers calls for the engine's service as the script says, in place of the usual answers and faults.
     void set_script(answer_script script);
     /// Makes all answers from now on say that the engine is leaving.
@@ -164,6 +169,8 @@
     void mark_caller_disconnected(std::size_t call);
     engine_fault current_fault() const;
     bool is_deadly(const http::request& request) const;
+    bool crashes_on(const http::request& request) const;
+    void crash_now();
     answer_script current_script() const;
     std::optional<std::string> current_pause() const;
 
@@ -176,6 +183,8 @@
     answer_script script;
     milliseconds work_time{5};
     std::string deadly_part;
+    std::function<bool(const http::request&)> deadly_request;
+    std::atomic<bool> is_crashed = false;
     bool is_leaving = false;
     std::optional<std::string> pause;
     std::int64_t started_ms = 1'700'000'000'000;
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(unreadable_items_leave_the_others_usable);
     CPPUNIT_TEST(request_headers_are_decoded);
     CPPUNIT_TEST(prompt_parts_are_bounded_and_leave_out_the_last);
+    CPPUNIT_TEST(attempts_of_a_request_have_the_same_traits);
     CPPUNIT_TEST(endpoint_responses_are_classified);
     CPPUNIT_TEST(notices_are_decoded_from_answers_to_the_request);
     CPPUNIT_TEST(unusable_notices_are_bounded);
@@ -288,6 +289,28 @@
         CPPUNIT_ASSERT(dialect.parse_request(request).error().kind == error_kind::bad_request);
     }
 
+    // Failure: an attempt of a request wasn't recognized by what its attempts differ in, or another request was.
+    void attempts_of_a_request_have_the_same_traits()
+    {
+        const platform::platform_dialect dialect;
+        http::request request;
+        request.lines = {{"Attempt-Id", "a1"},   {"deadline-ms", "900"},       {"Length-Hint", "40"},
+                         {"Model", "m"},         {"Prefix-Hash", "a:1,b:2"},   {"Authorization", "one"},
+                         {"Last-Event-Id", "3"}, {"Connection", "keep-alive"}, {"Content-Length", "0"}};
+        const auto traits = dialect.parse_request(request)->traits;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, traits.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"a"}, traits[2]);
+        http::request again = request;
+        for (const std::size_t line : {0, 1, 2, 6, 7, 8})
+            again.lines[line].value += "1";
+        CPPUNIT_ASSERT(dialect.parse_request(again)->traits == traits);
+        again.lines[5].value = "two";
+        CPPUNIT_ASSERT(dialect.parse_request(again)->traits[0] == traits[0]);
+        CPPUNIT_ASSERT(dialect.parse_request(again)->traits[1] != traits[1]);
+        again.lines[4].value = "a:1,c:2";
+        CPPUNIT_ASSERT(dialect.parse_request(again)->traits[0] != traits[0]);
+    }
+
     void prompt_parts_are_bounded_and_leave_out_the_last()
     {
         const platform::platform_dialect dialect;
