--- a/src/forward/crash_suspects.cpp
+++ b/src/forward/crash_suspects.cpp
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include "forward/request_fingerprint.h"
+
 namespace radishstep::forward {
 
 namespace {
@@ -19,6 +21,11 @@
     return std::ranges::all_of(wanted, [&parts](const std::string& part) { return contains(parts, part); });
 }
 
+bool has_prompt_parts(const crash_record& record)
+{
+    return !std::ranges::all_of(record.parts, is_request_fingerprint);
+}
+
 /// Returns whether an answer to a prompt with the part started after the crash.
 bool is_cleared(const crash_record& record, const std::string& part)
 {
@@ -92,8 +99,10 @@
     return most;
 }
 
-std::chrono::seconds quarantine_length(int further_crashes)
+std::chrono::seconds quarantine_length(const std::string& part, int further_crashes)
 {
+    if (further_crashes == 0 && is_request_fingerprint(part))
+        return crash_suspects::first_request_quarantine;
     std::chrono::seconds length = crash_suspects::first_quarantine;
     for (int i = 0; i < further_crashes && length < crash_suspects::max_quarantine; ++i)
         length *= 2;
@@ -110,8 +119,12 @@
     crash_record lost{incarnation, parts, now};
     if (lost.parts.size() > max_parts_per_record)
         lost.parts.resize(max_parts_per_record);
-    if (this->unconfirmed.size() >= max_records)
-        this->unconfirmed.erase(this->unconfirmed.begin());
+    this->recall_starts(lost.parts, now);
+    if (this->unconfirmed.size() >= max_records) {
+        const auto oldest_without_prompt = std::ranges::find_if_not(this->unconfirmed, has_prompt_parts);
+        this->unconfirmed.erase(oldest_without_prompt == this->unconfirmed.end() ? this->unconfirmed.begin()
+                                                                                 : oldest_without_prompt);
+    }
     this->unconfirmed.push_back(std::move(lost));
     // The evidence may come first, from a host that the endpoint's end reached earlier.
     const auto known_down = this->down_at.find(incarnation);
@@ -132,6 +145,11 @@
     });
     for (const crash_record& record : confirmed) {
         this->store({record, true, now});
+        // Answers since the crash weren't news before it was confirmed.
+        for (const std::string& part : record.parts) {
+            if (const auto start = this->starts.find(part); start != this->starts.end())
+                start->second.news_at = now;
+        }
         this->announce_quarantines(record.parts, now);
     }
     if (!confirmed.empty() && this->on_news)
@@ -148,6 +166,11 @@
     }
     bool is_news = false;
     for (const std::string& part : parts) {
+        if (is_request_fingerprint(part)) {
+            this->answered_requests.record(part, now);
+            if (this->records_with(part, true).empty())
+                continue;
+        }
         known_start* start = this->start_of(part);
         if (start == nullptr)
             continue;
@@ -181,6 +204,7 @@
         const auto alive = this->alive_at.find(record.incarnation);
         if (alive != this->alive_at.end() && record.crashed_at + refutation_time < alive->second)
             record.is_refuted = true;
+        this->recall_starts(record.parts, now);
         for (const std::string& part : record.parts) {
             const auto start = this->starts.find(part);
             if (record.is_refuted || start == this->starts.end() || !start->second.own_at)
@@ -221,10 +245,11 @@
 {
     std::vector<crash_record> own;
     for (auto stored = this->records.rbegin(); stored != this->records.rend(); ++stored) {
-        if (stored->is_own && !stored->record.is_refuted && stored->confirmed_at >= since &&
-            own.size() < max_reported_records)
+        if (stored->is_own && !stored->record.is_refuted && stored->confirmed_at >= since)
             own.push_back(stored->record);
     }
+    std::ranges::stable_partition(own, has_prompt_parts);
+    own.resize(std::min(own.size(), max_reported_records));
     return own;
 }
 
@@ -313,12 +338,15 @@
         return;
     }
     if (this->records.size() >= max_records) {
-        const auto oldest = std::ranges::min_element(
-            this->records, {}, [](const stored_record& stored) { return stored.record.crashed_at; });
+        // A crash of a plain endpoint takes many requests along; they do not displace prompts.
+        const auto rank = [](const stored_record& stored) {
+            return std::pair{has_prompt_parts(stored.record), stored.record.crashed_at};
+        };
+        const auto lowest = std::ranges::min_element(this->records, {}, rank);
         // Other hosts that still have it would bring back what was dropped.
-        if (added.record.crashed_at <= oldest->record.crashed_at)
+        if (rank(added) <= rank(*lowest))
             return;
-        this->records.erase(oldest);
+        this->records.erase(lowest);
     }
     this->records.push_back(std::move(added));
 }
@@ -390,7 +418,8 @@
     if (crashes < needed)
         return std::nullopt;
     part_quarantine verdict{part, common_parts(crashed), crashes,
-                            crashed.back()->crashed_at + quarantine_length(crashes - needed), crashed.back()->seen_by};
+                            crashed.back()->crashed_at + quarantine_length(part, crashes - needed),
+                            crashed.back()->seen_by};
     std::erase_if(verdict.combination, [&](const std::string& other) {
         const auto other_start = this->starts.find(other);
         return std::ranges::any_of(crashed, [&](const crash_record* record) { return is_cleared(*record, other); }) ||
@@ -424,6 +453,20 @@
     return &this->starts[part];
 }
 
+/// Adds the starts of fingerprints that a new record names, so that they last as long as the record.
+void crash_suspects::recall_starts(const std::vector<std::string>& parts, time_point now)
+{
+    for (const std::string& part : parts) {
+        if (!is_request_fingerprint(part) || this->starts.contains(part))
+            continue;
+        const auto started_at = this->answered_requests.last_start(part);
+        if (!started_at || *started_at + start_lifetime < now)
+            continue;
+        if (known_start* start = this->start_of(part))
+            *start = {started_at, *started_at, *started_at};
+    }
+}
+
 void crash_suspects::announce_quarantines(const std::vector<std::string>& parts, time_point now)
 {
     for (const std::string& part : parts) {
