Tests: close the sockets of reports before their context

reporting_host_is_a_peer_before_the_host_list_names_it destroyed the io_context before the two load_report_exchange objects whose sockets belong to it: a heap-use-after-free under AddressSanitizer (~load_report_exchange, in reactive_socket_service_base::destroy), which ended forward_tests there. The newer case started_host_learns_at_once_what_others_have_heard had the same order. The product destroys its exchange before its context; no check changed.

--- a/tests/forward/test_watches_and_reports.cpp
+++ b/tests/forward/test_watches_and_reports.cpp
@@ -198,6 +198,9 @@
         };
         CPPUNIT_ASSERT(is_refused({"p"}));
         CPPUNIT_ASSERT(!is_refused({"q"}));
+        // Their sockets are closed by the context that they were opened with.
+        known.peers.reset();
+        started.peers.reset();
         this->io.reset();
     }
 
@@ -298,6 +301,9 @@
         added.received.clear();
         this->io->run_for(1'600ms);
         CPPUNIT_ASSERT(added.received.contains("known"));
+        // Their sockets are closed by the context that they were opened with.
+        known.peers.reset();
+        added.peers.reset();
         this->io.reset();
     }
 
