--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(malformed_store_responses_are_errors);
     CPPUNIT_TEST(unreadable_items_leave_the_others_usable);
     CPPUNIT_TEST(request_headers_are_decoded);
+    CPPUNIT_TEST(announced_token_counts_are_bounded);
     CPPUNIT_TEST(prompt_parts_are_bounded_and_leave_out_the_last);
     CPPUNIT_TEST(attempts_of_a_request_have_the_same_traits);
     CPPUNIT_TEST(endpoint_responses_are_classified);
@@ -272,6 +273,27 @@
         CPPUNIT_ASSERT(!platform::decode_config(""));
     }
 
+    // Guards against a caller whose announced prompt overflows the load of an engine, which then looks full to all
+    // hosts.
+    void announced_token_counts_are_bounded()
+    {
+        const auto decode = [](const std::string& tokens, const std::string& expected) {
+            http::request request;
+            request.lines = {{"Attempt-Id", "a"}, {"Token-Count", tokens}, {"Length-Hint", expected}};
+            return *platform::platform_dialect{}.parse_request(request);
+        };
+        constexpr std::int64_t max_tokens = 100'000'000;
+        const auto huge = decode("9223372036854775807,9223372036854775807", "9223372036854775807");
+        CPPUNIT_ASSERT_EQUAL(max_tokens, huge.prompt_tokens);
+        CPPUNIT_ASSERT_EQUAL(max_tokens, huge.max_output_tokens);
+        CPPUNIT_ASSERT_EQUAL(max_tokens, huge.expected_output_tokens);
+        const auto negative = decode("-9223372036854775808,-5", "-1");
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, negative.prompt_tokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, negative.max_output_tokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, negative.expected_output_tokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{80}, decode("900,80", "").expected_output_tokens);
+    }
+
     void request_headers_are_decoded()
     {
         const platform::platform_dialect dialect;
