--- a/src/forward/crash_suspects.h
+++ b/src/forward/crash_suspects.h
@@ -79,8 +79,9 @@
     /// Length of a quarantine from the last crash. Doubles with each further crash up to the maximum.
     static constexpr std::chrono::seconds first_quarantine{60};
     static constexpr std::chrono::seconds max_quarantine{300};
-    /// The same for a whole request after the fewest crashes: a sound one that endpoints took along by chance, and that
-    /// nobody else sends, is refused no longer, and a deadly one shows itself by one crash more.
+    /// Length of the first quarantine of a whole request. Short, since endpoints that crash for another reason may take
+    /// the same sound request along twice; a request that crashes endpoints itself is back in quarantine after one
+    /// more.
     static constexpr std::chrono::seconds first_request_quarantine{5};
     /// How long crashes are remembered, so that one more crash after a quarantine renews it.
     static constexpr std::chrono::seconds record_lifetime{900};
@@ -127,7 +128,8 @@
     /// Returns whether a request that was itself lost may be sent again: unconfirmed crashes count, too.
     bool may_retry(const std::vector<std::string>& parts, time_point now) const;
 
-    /// Returns the newest records of this host that were confirmed at `since` or later and stand.
+    /// Returns the newest records of this host that were confirmed at `since` or later and are not refuted, those of
+    /// requests with a prompt first.
     std::vector<crash_record> own_records(time_point since) const;
 
     /// Returns the starts seen by this host of parts that are in any record, if they became of interest at `since` or
