Tests: let the two crashes of the deadly prompt be apart in time

losses_of_plain_requests_do_not_displace_prompts failed on (forward_tests, 110 of 111): it let both endpoints be lost at the same moment, and crashes less than 200 ms apart count as one. The first loss is now a second earlier; what the test expects is the same. Passes now (111 of 111), and fails if records with a prompt do not go first (has_prompt_parts always false).

--- a/tests/forward/test_crash_suspects.cpp
+++ b/tests/forward/test_crash_suspects.cpp
@@ -318,6 +318,7 @@
     void losses_of_plain_requests_do_not_displace_prompts()
     {
         this->crash("a", {"request:a", "first", "deadly"});
+        this->now += 1s;
         this->suspects.record_lost_request("b", {"request:b", "first", "deadly"}, this->now);
         for (std::size_t i = 0; i < 2 * crash_suspects::max_records; ++i)
             this->suspects.record_lost_request("plain", {"request:" + std::to_string(i)}, this->now);
