--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -8,6 +8,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -654,12 +655,13 @@
     std::string key() const { return "servers/" + this->id; }
     std::string address() const { return this->server.address; }
 
-    void write_entry()
+    void write_entry(const std::string& state = "ready")
     {
-        json entry{
-            {"service", this->service}, {"address", this->address()}, {"zone", "zone-a"},       {"version", "v1"},
-            {"slots", this->slots},     {"state", "ready"},           {"cold_remaining_ms", 0}, {"sequence", 1},
-            {"born", this->born}};
+        json entry{{"service", this->service}, {"address", this->address()},
+                   {"zone", "zone-a"},         {"version", "v1"},
+                   {"slots", this->slots},     {"state", state},
+                   {"cold_remaining_ms", 0},   {"sequence", 1},
+                   {"born", this->born}};
         if (!this->phase.empty()) {
             entry["phase"] = this->phase;
             entry["models"] = {{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}};
@@ -667,6 +669,13 @@
         this->registry.put(this->key(), entry.dump());
     }
 
+    /// Ends like a process that leaves as planned: its entry is removed, and its connections are closed.
+    void leave()
+    {
+        this->registry.remove(this->key());
+        this->server.stop(false);
+    }
+
     /// Ends like a process that crashes: its connections are reset, and its port refuses new ones.
     void crash() { this->server.stop(true); }
 
@@ -771,7 +780,7 @@
             {"listen", {{"front", this->front}, {"ready", this->ready}}},
             {"internal_ports", {inner, inner}},
             {"bootstrap", true},
-            {"limits", {{"cpu_share", 1.0}, {"cores", 1}, {"memory_mb", memory_mb}, {"max_fds", 4'100}}},
+            {"limits", {{"cpu_share", 1.0}, {"cores", 1}, {"memory_mb", memory_mb}, {"max_fds", max_fds}}},
             {"heartbeat_ms", 1'200},
             {"contracts",
              {"base", "drain", "config", "cost", "retry", "recover", "split", "stream", "engine", "platform"}},
@@ -810,6 +819,9 @@
         const int log = ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         ::dup2(log, STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
+        // The platform's limit, max_fds.
+        const rlimit descriptors{max_fds, max_fds};
+        ::setrlimit(RLIMIT_NOFILE, &descriptors);
         const char* program = "target/radishstep-gateway";
         char* const arguments[] = {const_cast<char*>(program), nullptr};
         char* const variables[] = {const_cast<char*>(variable.c_str()), nullptr};
@@ -877,6 +889,19 @@
         return {std::istreambuf_iterator<char>{file}, {}};
     }
 
+    /// Descriptors that the process has open.
+    int open_descriptors() const
+    {
+        std::error_code failure;
+        int count = 0;
+        for (const auto& entry :
+             std::filesystem::directory_iterator{"/proc/" + std::to_string(this->pid) + "/fd", failure})
+            count += entry.path().empty() ? 0 : 1;
+        return count;
+    }
+
+    static constexpr int max_fds = 4'100;
+
     const std::string name;
     std::string front;
     std::string ready;
