--- a/review/standins/deadly_part.cpp
+++ b/review/standins/deadly_part.cpp
@@ -18,10 +18,12 @@
     /// An engine writes the first event of its answer before it crashes.
     bool sends_first_event = false;
     /// How long a crashed engine is away.
-    long down_ms = 3'000;
+    long down_ms = 5'000;
+    /// From its start until its entry in the store is new.
+    long register_ms = 0;
     /// One request with the part, and one without it, in each interval.
-    long deadly_interval_ms = 2'000;
-    long sound_interval_ms = 250;
+    long deadly_interval_ms = 1'000;
+    long sound_interval_ms = 125;
     long length_ms = 40'000;
 };
 
@@ -32,6 +34,10 @@
         chosen.shared_parts = 17;
     if (mode == "first_event")
         chosen.sends_first_event = true;
+    if (mode == "same_id") {
+        chosen.down_ms = 2'000;
+        chosen.register_ms = 1'000;
+    }
     if (mode == "quiet") {
         chosen.down_ms = 2'000;
         chosen.deadly_interval_ms = 6'000;
@@ -123,7 +129,7 @@
             sleep_ms(plan.down_ms);
             if (is_over)
                 return;
-            self.start_again();
+            self.start_again(plan.register_ms);
             record.line("engine " + self.id + " is back");
         });
         return false;
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -679,11 +679,13 @@
     /// Ends like a process that crashes: its connections are reset, and its port refuses new ones.
     void crash() { this->server.stop(true); }
 
-    /// Starts again under the same id and address, and registers. Never in the millisecond of the last start.
-    void start_again()
+    /// Starts again under the same id and address, and registers `register_ms` later. Never in the millisecond of the
+    /// last start.
+    void start_again(long register_ms = 0)
     {
         this->born = std::max(wall_ms(), this->born + 1);
         this->server.start();
+        sleep_ms(register_ms);
         this->write_entry();
     }
 
