--- a/src/forward/crash_suspects.cpp
+++ b/src/forward/crash_suspects.cpp
@@ -241,6 +241,22 @@
     return !this->refused_until(parts, true, now);
 }
 
+crash_tally crash_suspects::tally(const std::vector<std::string>& parts) const
+{
+    crash_tally highest;
+    if (this->records.empty())
+        return highest;
+    for (const std::string& part : parts) {
+        auto crashed = this->records_with(part, false);
+        std::erase_if(crashed, [&](const crash_record* record) { return is_cleared(*record, part); });
+        std::set<std::string> endpoints;
+        for (const crash_record* record : crashed)
+            endpoints.insert(record->incarnation);
+        highest = std::max(highest, {static_cast<int>(endpoints.size()), count_crashes(crashed)});
+    }
+    return highest;
+}
+
 std::vector<crash_record> crash_suspects::own_records(time_point since) const
 {
     std::vector<crash_record> own;
@@ -349,6 +365,8 @@
         this->records.erase(lowest);
     }
     this->records.push_back(std::move(added));
+    if (this->on_record)
+        this->on_record(this->records.back().record, this->tally(this->records.back().record.parts));
 }
 
 crash_suspects::stored_record* crash_suspects::find_record(const crash_record& wanted)
--- a/src/forward/crash_suspects.h
+++ b/src/forward/crash_suspects.h
@@ -55,6 +55,17 @@
     bool operator==(const part_quarantine&) const = default;
 };
 
+/// Known crashes of requests that have a part in common.
+struct crash_tally
+{
+    /// Endpoints that crashed.
+    int endpoints = 0;
+    /// Crashes that count towards a quarantine; several endpoints that crash together count once.
+    int crashes = 0;
+
+    auto operator<=>(const crash_tally&) const = default;
+};
+
 /// Finds prompt parts and whole requests that crash each endpoint that starts an answer to them. The fingerprints of a
 /// request are parts of it like those of its prompt. A part is suspected while endpoints crash before the first event
 /// of requests with it and no answer with it starts anywhere. Hosts exchange their records and pass on those of others,
@@ -101,6 +112,8 @@
     static constexpr std::size_t max_reported_records = 8;
     static constexpr std::size_t max_reported_starts = 32;
 
+    /// Called with each record that this host learns of, its own or another host's, and with what is known of its parts.
+    std::function<void(const crash_record&, const crash_tally&)> on_record;
     /// Called when a quarantine starts or changes.
     std::function<void(const part_quarantine&)> on_quarantine;
     /// Called when a quarantine has ended, or its part was cleared.
@@ -128,6 +141,9 @@
     /// Returns whether a request that was itself lost may be sent again: unconfirmed crashes count, too.
     bool may_retry(const std::vector<std::string>& parts, time_point now) const;
 
+    /// Returns the highest tally among the parts, without crashes after which an answer with the part started.
+    crash_tally tally(const std::vector<std::string>& parts) const;
+
     /// Returns the newest records of this host that were confirmed at `since` or later and are not refuted, those of
     /// requests with a prompt first.
     std::vector<crash_record> own_records(time_point since) const;
--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -11,6 +11,18 @@
 
 namespace {
 
+void report_record(const crash_record& record, const crash_tally& known)
+{
+    count("radishstep_forward_crash_records_total");
+    const auto age = std::chrono::duration_cast<milliseconds>(runtime_clock::now() - record.crashed_at);
+    log_decision("crash_recorded", {{"endpoint", record.incarnation},
+                                    {"parts", join(record.parts)},
+                                    {"age_ms", std::to_string(age.count())},
+                                    {"seen_by", record.seen_by},
+                                    {"endpoints", std::to_string(known.endpoints)},
+                                    {"crashes", std::to_string(known.crashes)}});
+}
+
 void report_quarantine(const part_quarantine& quarantine)
 {
     count("radishstep_forward_parts_quarantined_total");
@@ -78,6 +90,7 @@
     : executor(executor), dialect(dialect), http_client(executor),
       chooser(this->directory, this->load, this->health, this->notices, std::move(zone)), random(std::random_device{}())
 {
+    this->suspects.on_record = report_record;
     this->suspects.on_quarantine = report_quarantine;
     this->suspects.on_release = [](const part_quarantine& quarantine) {
         log_state("part_released", {{"part", quarantine.part}, {"crashes", std::to_string(quarantine.crashes)}});
@@ -114,6 +127,19 @@
     this->suspects.record_lost_request(target.incarnation(), traits, runtime_clock::now());
 }
 
+void forward_context::report_suspect_send(const std::string& request_id, const endpoint& target,
+                                          const std::vector<std::string>& traits) const
+{
+    const crash_tally known = this->suspects.tally(traits);
+    if (known.endpoints == 0)
+        return;
+    count("radishstep_forward_suspect_sends_total");
+    log_decision("suspect_sent", {{"request", request_id},
+                                  {"endpoint", target.id},
+                                  {"endpoints", std::to_string(known.endpoints)},
+                                  {"crashes", std::to_string(known.crashes)}});
+}
+
 bool forward_context::is_quarantined(const std::vector<std::string>& traits, bool may_have_run) const
 {
     const time_point now = runtime_clock::now();
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -62,6 +62,10 @@
     /// the first event, unless the endpoint was leaving as planned.
     void record_lost_request(const endpoint& target, const std::vector<std::string>& traits);
 
+    /// Logs and counts that a request is sent on which, or on a part of which, endpoints have crashed.
+    void report_suspect_send(const std::string& request_id, const endpoint& target,
+                             const std::vector<std::string>& traits) const;
+
     /// Returns whether a request must not be sent because endpoints have crashed on such ones. For one that may have
     /// run already, crashes count that are not confirmed yet.
     bool is_quarantined(const std::vector<std::string>& traits, bool may_have_run) const;
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -411,6 +411,7 @@
     this->outcome.endpoint = call->target.id;
     this->excluded_engines.insert(call->target.incarnation());
     call->uses_prefill = this->prefilled.has_value();
+    this->context.report_suspect_send(this->active.request.id, call->target, this->active.request.traits);
     http::request request = this->make_decode_call(call->target);
     auto stream = co_await this->context.http_client.send(call->target.address, std::move(request), std::move(options));
     this->record_delivery_or_refund(this->delivered_decode_calls,
--- a/src/forward/plain_forwarder.cpp
+++ b/src/forward/plain_forwarder.cpp
@@ -75,6 +75,7 @@
     this->tried_endpoints.insert(incarnation);
     ++this->outcome.send_count;
     this->outcome.endpoint = target.id;
+    this->context.report_suspect_send(this->active.request.id, target, this->active.request.traits);
     const time_point sent_at = runtime_clock::now();
     http::request call =
         this->context.dialect.make_plain_call(this->active.request, target, this->active.canceller.time_left());
