Crash suspects: count crashes one after the other under one request

Cause: crashes less than 200 ms apart counted as one, so that a rack that loses power quarantines none of the requests that it took along. A request that fails over to the next endpoint within milliseconds always looks like that.

Change: a record also says how long its endpoint had had the request. A crash counts by itself if the request was sent there after the earlier endpoint had crashed: one failure of both would have had to take the request along twice. Requests that were at several endpoints at one moment still count once. Microseconds, since a retry follows its loss within less than a millisecond; hosts of earlier versions send no such time, and their records count as before.

--- a/src/forward/crash_suspects.cpp
+++ b/src/forward/crash_suspects.cpp
@@ -47,17 +47,27 @@
 {
     record.crashed_at = std::min(record.crashed_at, copy.crashed_at);
     record.cleared |= copy.cleared;
+    if (!record.ran_for)
+        record.ran_for = copy.ran_for;
     record.is_refuted = record.is_refuted || copy.is_refuted;
     return record.cleared == copy.cleared && record.is_refuted == copy.is_refuted;
 }
 
-/// Returns the number of crashes at different endpoints and times; `records` are in the order of time.
+/// Returns whether two crashes, `earlier` first, may be one failure of several endpoints. A request that was sent to its
+/// endpoint after the earlier crash and was lost there, too, shows that they are not.
+bool may_be_one_failure(time_point earlier, const crash_record& later)
+{
+    const bool was_sent_later = later.ran_for && earlier <= later.crashed_at - *later.ran_for;
+    return !was_sent_later && later.crashed_at < earlier + crash_suspects::min_crash_interval;
+}
+
+/// Returns the number of separate crashes at different endpoints; `records` are in the order of time.
 int count_crashes(const std::vector<const crash_record*>& records)
 {
     std::set<std::string> counted;
     std::optional<time_point> last_counted_at;
     for (const crash_record* record : records) {
-        if (last_counted_at && record->crashed_at < *last_counted_at + crash_suspects::min_crash_interval)
+        if (last_counted_at && may_be_one_failure(*last_counted_at, *record))
             continue;
         if (!counted.insert(record->incarnation).second)
             continue;
@@ -112,11 +122,12 @@
 } // namespace
 
 void crash_suspects::record_lost_request(const std::string& incarnation, const std::vector<std::string>& parts,
-                                         time_point now)
+                                         time_point now, std::optional<std::chrono::microseconds> ran_for)
 {
     if (parts.empty())
         return;
     crash_record lost{incarnation, parts, now};
+    lost.ran_for = ran_for;
     if (lost.parts.size() > max_parts_per_record)
         lost.parts.resize(max_parts_per_record);
     this->recall_starts(lost.parts, now);
--- a/src/forward/crash_suspects.h
+++ b/src/forward/crash_suspects.h
@@ -27,6 +27,8 @@
     std::uint32_t cleared = 0;
     /// The endpoint has answered since, so it had not crashed.
     bool is_refuted = false;
+    /// How long the endpoint had had the request. Hosts of earlier versions don't report it.
+    std::optional<std::chrono::microseconds> ran_for = std::nullopt;
 
     bool operator==(const crash_record&) const = default;
 };
@@ -80,7 +82,8 @@
     /// The same for a part with which answers have started lately: several endpoints may fail at once for another
     /// reason.
     static constexpr int crashes_to_quarantine_started_part = 3;
-    /// Crashes closer together count as one, such as those of a rack that loses power.
+    /// Crashes closer together count as one, such as those of a rack that loses power, unless the request was sent to
+    /// the later endpoint after the earlier one had crashed.
     static constexpr milliseconds min_crash_interval{200};
     /// How long a lost request waits for evidence that its endpoint crashed, rather than one connection: an endpoint
     /// that crashes loses its registration after several missed heartbeats.
@@ -121,9 +124,10 @@
     /// Called when the other hosts should learn of a record or a start soon.
     std::function<void()> on_news;
 
-    /// Records that the connection of a request broke before its first event. It counts once the endpoint is known to
-    /// be down.
-    void record_lost_request(const std::string& incarnation, const std::vector<std::string>& parts, time_point now);
+    /// Records that the connection of a request broke before its first event, `ran_for` after it was sent. It counts
+    /// once the endpoint is known to be down.
+    void record_lost_request(const std::string& incarnation, const std::vector<std::string>& parts, time_point now,
+                             std::optional<std::chrono::microseconds> ran_for = std::nullopt);
 
     /// Records evidence that an endpoint is down: it refuses connections, or its registration vanished.
     void record_endpoint_down(const std::string& incarnation, time_point now);
--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -119,12 +119,15 @@
     this->health.record_outcome(incarnation, outcome, runtime_clock::now());
 }
 
-void forward_context::record_lost_request(const endpoint& target, const std::vector<std::string>& traits)
+void forward_context::record_lost_request(const endpoint& target, const std::vector<std::string>& traits,
+                                          time_point sent_at)
 {
     if (!this->directory.accepts_work(target))
         return;
     count("radishstep_forward_lost_before_first_event_total");
-    this->suspects.record_lost_request(target.incarnation(), traits, runtime_clock::now());
+    const time_point now = runtime_clock::now();
+    this->suspects.record_lost_request(target.incarnation(), traits, now,
+                                       std::chrono::duration_cast<std::chrono::microseconds>(now - sent_at));
 }
 
 void forward_context::report_suspect_send(const std::string& request_id, const endpoint& target,
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -60,7 +60,7 @@
 
     /// Records in the suspects that a request's connection to an endpoint broke before its answer, of a stream before
     /// the first event, unless the endpoint was leaving as planned.
-    void record_lost_request(const endpoint& target, const std::vector<std::string>& traits);
+    void record_lost_request(const endpoint& target, const std::vector<std::string>& traits, time_point sent_at);
 
     /// Logs and counts that a request is sent on which, or on a part of which, endpoints have crashed.
     void report_suspect_send(const std::string& request_id, const endpoint& target,
--- a/src/forward/load_report_exchange.cpp
+++ b/src/forward/load_report_exchange.cpp
@@ -25,6 +25,9 @@
 /// A longer datagram is truncated and then counted as unusable.
 constexpr std::size_t receive_buffer_bytes = 60UL * 1024;
 
+/// A record is forgotten before a run of this length matters.
+constexpr std::chrono::microseconds max_reported_run{crash_suspects::record_lifetime};
+
 /// Returns the address of a host that can be sent reports: the socket is an IPv4 one.
 result<asio::ip::udp::endpoint> parse_peer_address(const std::string& address)
 {
@@ -59,11 +62,16 @@
     wire::CrashedRequest row;
     row.endpoint = record.incarnation;
     row.parts = record.parts;
-    row.age_ms = static_cast<std::int32_t>(to_ms(now - record.crashed_at));
+    const auto age = std::chrono::duration_cast<std::chrono::microseconds>(now - record.crashed_at);
+    const auto whole_age = std::chrono::duration_cast<milliseconds>(age);
+    row.age_ms = static_cast<std::int32_t>(whole_age.count());
+    row.__set_age_us(static_cast<std::int32_t>((age - whole_age).count()));
     if (record.cleared != 0)
         row.__set_cleared(static_cast<std::int32_t>(record.cleared));
     if (record.is_refuted)
         row.__set_refuted(true);
+    if (record.ran_for)
+        row.__set_ran_us(record.ran_for->count());
     return row;
 }
 
@@ -71,9 +79,13 @@
 void append_records(const std::vector<wire::CrashedRequest>& rows, const std::string& host, time_point now,
                     std::vector<crash_record>& records)
 {
-    for (const wire::CrashedRequest& row : rows | std::views::take(crash_suspects::max_reported_records))
-        records.push_back({row.endpoint, row.parts, now - milliseconds{std::max(row.age_ms, 0)}, host,
-                           static_cast<std::uint32_t>(row.cleared), row.refuted});
+    for (const wire::CrashedRequest& row : rows | std::views::take(crash_suspects::max_reported_records)) {
+        const auto age = milliseconds{std::max(row.age_ms, 0)} + std::chrono::microseconds{std::max(row.age_us, 0)};
+        records.push_back({row.endpoint, row.parts, now - age, host, static_cast<std::uint32_t>(row.cleared),
+                           row.refuted});
+        if (row.__isset.ran_us)
+            records.back().ran_for = std::chrono::microseconds{std::clamp<std::int64_t>(row.ran_us, 0, max_reported_run.count())};
+    }
 }
 
 wire::WaitingHead to_wire(const queue_head& head)
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -629,7 +629,7 @@
                                    {"prompt_parts", join(this->active.request.prompt_parts)},
                                    {"cause", describe(reason)}});
     if (reason.kind == error_kind::connection_lost && !this->relay.last_event_id())
-        this->context.record_lost_request(call.target, this->active.request.traits);
+        this->context.record_lost_request(call.target, this->active.request.traits, call.sent_at);
     if (!this->active.canceller.is_caller_disconnected())
         this->context.record_call_failure(call.target.incarnation(), reason.kind);
     return next_step::retry;
--- a/src/forward/plain_forwarder.cpp
+++ b/src/forward/plain_forwarder.cpp
@@ -85,7 +85,7 @@
     else
         this->log_call(target, sent_at, describe(answer.error()), true);
     if (!answer)
-        co_return this->handle_failure(target, answer.error());
+        co_return this->handle_failure(target, sent_at, answer.error());
     co_return this->handle_answer(target, std::move(*answer));
 }
 
@@ -101,7 +101,8 @@
                                 {"ended", call_result}});
 }
 
-plain_forwarder::next_step plain_forwarder::handle_failure(const endpoint& target, const error& reason)
+plain_forwarder::next_step plain_forwarder::handle_failure(const endpoint& target, time_point sent_at,
+                                                           const error& reason)
 {
     const bool may_have_run = may_have_arrived(reason.kind);
     if (!may_have_run && this->delivered_calls > 0)
@@ -116,7 +117,7 @@
         log_decision("request_lost", {{"request", this->active.request.id},
                                       {"endpoint", target.id},
                                       {"traits", join(this->active.request.traits)}});
-        this->context.record_lost_request(target, this->active.request.traits);
+        this->context.record_lost_request(target, this->active.request.traits, sent_at);
     }
     this->context.record_call_failure(target.incarnation(), reason.kind);
     return next_step::retry;
--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -190,6 +190,10 @@
   4: optional i32 cleared
   // The endpoint has answered since.
   5: optional bool refuted
+  // How long the endpoint had had the request, and the part of the age beyond whole milliseconds; hosts of earlier
+  // versions send neither.
+  6: optional i64 ran_us
+  7: optional i32 age_us
 }
 
 // A part of a prompt that some CrashedRequest has, and when an answer to a prompt with it last started.
--- a/tests/forward/test_crash_suspects.cpp
+++ b/tests/forward/test_crash_suspects.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(parts_whose_answers_start_are_cleared);
     CPPUNIT_TEST(lost_connections_to_running_endpoints_do_not_count);
     CPPUNIT_TEST(endpoints_that_crash_together_count_once);
+    CPPUNIT_TEST(endpoints_that_a_request_reached_one_after_the_other_count_each);
     CPPUNIT_TEST(request_lost_beside_a_crashing_one_does_not_widen_the_quarantine);
     CPPUNIT_TEST(crash_after_a_quarantine_renews_it);
     CPPUNIT_TEST(reports_quarantine_at_other_hosts_and_starts_end_it);
@@ -150,6 +151,25 @@
         CPPUNIT_ASSERT(!this->is_refused({"p"}));
     }
 
+    // Failure: two endpoints that a request and its retry crashed within 200 ms counted as one crash.
+    void endpoints_that_a_request_reached_one_after_the_other_count_each()
+    {
+        crash_suspects other;
+        const auto lose = [&](const std::string& incarnation, milliseconds ran_for) {
+            this->now += 50ms;
+            this->suspects.record_lost_request(incarnation, {"p"}, this->now, ran_for);
+            this->suspects.record_endpoint_down(incarnation, this->now);
+        };
+        lose("a", 30ms);
+        // Sent before the first crash.
+        lose("b", 51ms);
+        CPPUNIT_ASSERT(!this->is_refused({"p"}));
+        lose("c", 50ms);
+        CPPUNIT_ASSERT(this->is_refused({"p"}));
+        this->report(this->suspects, other);
+        CPPUNIT_ASSERT(this->is_refused_by(other, {"p"}));
+    }
+
     void request_lost_beside_a_crashing_one_does_not_widen_the_quarantine()
     {
         this->suspects.record_lost_request("a", {"first", "bystander"}, this->now);
--- a/tests/forward/test_watches_and_reports.cpp
+++ b/tests/forward/test_watches_and_reports.cpp
@@ -185,6 +185,10 @@
         const time_point now = runtime_clock::now();
         known.suspects.apply_peer_records(
             {{"a", {"p", "q"}, now - 4s, "gone", 2}, {"b", {"p", "q"}, now - 2s, "gone", 2}}, now);
+        // Two crashes of which only the time that the requests ran shows that they are separate.
+        known.suspects.apply_peer_records({{"c", {"r"}, now - 2s, "gone", 0, false, 90ms},
+                                           {"d", {"r"}, now - 1'900ms, "gone", 0, false, 80ms}},
+                                          now);
         const reserved_address known_address;
         const reserved_address started_address;
         open(known, "known", known_address.text());
@@ -197,6 +201,7 @@
             return started.suspects.quarantined_until(parts, runtime_clock::now()).has_value();
         };
         CPPUNIT_ASSERT(is_refused({"p"}));
+        CPPUNIT_ASSERT(is_refused({"r"}));
         CPPUNIT_ASSERT(!is_refused({"q"}));
         // Their sockets are closed by the context that they were opened with.
         known.peers.reset();
