Crash suspects: after a quarantine, try one request of all hosts' at a time

Cause: a quarantine's end let everything through at once, all hosts, all attempts, and each attempt to a second endpoint, while the first crash was not confirmed yet. The logs show suspect_sent nine times within 3 ms before the first crash_recorded.

Change: when a quarantine is over, what is suspected is tried. A host claims the suspected parts, tells the other hosts at once, waits for the time in which claims of two hosts reach each other, and sends the request if its claim still holds; of two claims that cross the one of the host that is first by name holds. Meanwhile, and until the crash of a lost trial is known, all hosts refuse the others (503, quarantined). A trial that is lost is not sent to a second endpoint. An answer clears the parts, as before; a request that finds a trial in progress waits that same short time for it. No call to the store. A lost datagram costs one more trial, and hosts of earlier versions know no claims.

Considered: turns by a host's rank, which need no messages but leave a sound request refused for a turn of each host; a claim in the store, which is exact but puts a call to it on the path of requests.

--- a/src/forward/crash_suspects.cpp
+++ b/src/forward/crash_suspects.cpp
@@ -247,6 +247,19 @@
     return this->refused_until(parts, false, now);
 }
 
+std::vector<std::string> crash_suspects::suspected_parts(const std::vector<std::string>& parts, time_point now) const
+{
+    std::vector<std::string> suspected;
+    if (this->records.empty())
+        return suspected;
+    for (const std::string& part : parts) {
+        const auto verdict = this->judge(part, false);
+        if (verdict && verdict->until <= now && contains_all(parts, verdict->combination))
+            suspected.push_back(part);
+    }
+    return suspected;
+}
+
 bool crash_suspects::may_retry(const std::vector<std::string>& parts, time_point now) const
 {
     return !this->refused_until(parts, true, now);
--- a/src/forward/crash_suspects.h
+++ b/src/forward/crash_suspects.h
@@ -142,6 +142,10 @@
     /// Returns until when a request with these parts is refused, or nothing if it may be sent.
     std::optional<time_point> quarantined_until(const std::vector<std::string>& parts, time_point now) const;
 
+    /// Returns the suspected parts whose quarantine is over and that no answer has cleared, if the request has
+    /// everything in common with those that crashed. Such a request may be sent only as a trial.
+    std::vector<std::string> suspected_parts(const std::vector<std::string>& parts, time_point now) const;
+
     /// Returns whether a request that was itself lost may be sent again: unconfirmed crashes count, too.
     bool may_retry(const std::vector<std::string>& parts, time_point now) const;
 
--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -96,6 +96,7 @@
         log_state("part_released", {{"part", quarantine.part}, {"crashes", std::to_string(quarantine.crashes)}});
     };
     this->suspects.on_news = [this] { this->notify_load_change(true); };
+    this->trials.on_news = [this] { this->notify_load_change(true); };
 }
 
 double forward_context::draw()
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "forward/crash_suspects.h"
+#include "forward/crash_trials.h"
 #include "forward/endpoint_chooser.h"
 #include "forward/endpoint_directory.h"
 #include "forward/endpoint_health.h"
@@ -37,6 +38,8 @@
     retry_budget budget;
     /// Requests on which endpoints crash.
     crash_suspects suspects;
+    /// Those of them that are being sent.
+    crash_trials trials;
     /// Requests waiting for capacity at an endpoint, by service.
     std::map<std::string, request_queue> request_queues;
     /// Durations of streams, by service.
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -107,6 +107,7 @@
 {
     this->context.budget.configure(this->settings.retries, assumed_host_count);
     this->phase_control.set_host_count(assumed_host_count);
+    this->context.trials.configure(this->settings.host, this->load_reports.exchange_time());
     this->context.on_load_change = [this](bool is_urgent) { this->load_reports.mark_changed(is_urgent); };
 }
 
@@ -137,6 +138,10 @@
     hooks.list_records_for_newcomer = [this] {
         return this->context.suspects.records_for_newcomer(runtime_clock::now());
     };
+    hooks.list_trials = [this](time_point since) { return this->context.trials.own_claims(since); };
+    hooks.on_peer_trials = [this](const std::string& host, const std::vector<std::string>& parts) {
+        this->context.trials.apply_peer_claims(host, parts, runtime_clock::now());
+    };
     hooks.on_peer_crash_records = [this](const std::vector<crash_record>& records,
                                          const std::vector<part_start>& starts) {
         const time_point now = runtime_clock::now();
@@ -342,6 +347,7 @@
     this->context.are_peer_loads_current =
         this->load_reports.report_interval() <= max_report_interval_for_current_loads;
     this->context.budget.configure(this->settings.retries, this->load_reports.host_count());
+    this->context.trials.configure(this->settings.host, this->load_reports.exchange_time());
     this->phase_control.set_host_count(this->load_reports.host_count());
 }
 
@@ -407,6 +413,7 @@
                       {{"endpoint", dropped.id}, {"cause", "did not register again after the outage"}});
         this->context.health.expire_records(now);
         this->context.suspects.expire(now);
+        this->context.trials.expire(now);
         this->context.expire_notices();
         for (const auto& watched : this->watches)
             watched->recover_missed_changes(now);
--- a/src/forward/load_report_exchange.cpp
+++ b/src/forward/load_report_exchange.cpp
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/pause.h"
+#include "forward/crash_trials.h"
 #include "http/server.h"
 #include "wire/codec.h"
 #include "wire/generated/radishstep_types.h"
@@ -180,6 +181,11 @@
                                                    static_cast<std::chrono::microseconds::rep>(this->peers.size()));
 }
 
+milliseconds load_report_exchange::exchange_time() const
+{
+    return std::chrono::ceil<milliseconds>(this->urgent_report_interval()) + min_report_interval + max_transfer_time;
+}
+
 asio::awaitable<void> load_report_exchange::send_reports()
 {
     while (true) {
@@ -242,6 +248,7 @@
         report.down.push_back(std::move(row));
     }
     this->add_crash_records(report, now);
+    this->add_trials(report);
     return wire::encode(report);
 }
 
@@ -296,6 +303,14 @@
     report.__isset.relayed = !report.relayed.empty();
 }
 
+void load_report_exchange::add_trials(wire::LoadReport& report) const
+{
+    if (!this->hooks.list_trials)
+        return;
+    report.trials = this->hooks.list_trials(report.is_partial ? this->last_sent_at : time_point{});
+    report.__isset.trials = !report.trials.empty();
+}
+
 void load_report_exchange::apply_crash_records(const wire::LoadReport& report, time_point now)
 {
     if (!this->hooks.on_peer_crash_records ||
@@ -378,6 +393,8 @@
             this->hooks.on_peer_endpoint_down(row.endpoint);
     }
     this->apply_crash_records(*report, now);
+    if (this->hooks.on_peer_trials && report->trials.size() <= crash_trials::max_reported_claims)
+        this->hooks.on_peer_trials(report->host, report->trials);
     revisions_by_prefix revisions;
     for (const wire::SeenChange& row : report->seen)
         revisions[row.prefix] = row.revision;
--- a/src/forward/load_report_exchange.h
+++ b/src/forward/load_report_exchange.h
@@ -34,7 +34,7 @@
     std::function<revisions_by_prefix()> latest_revisions;
     /// Called with the newest revisions that another host has seen.
     std::function<void(const revisions_by_prefix&)> on_peer_revisions;
-    /// Called when another host has seen an endpoint down. May be empty, as may the next five.
+    /// Called when another host has seen an endpoint down. May be empty, as may the next seven.
     std::function<void(const std::string& incarnation)> on_peer_endpoint_down;
     /// Return this host's crash records and started parts that are of interest since a time.
     std::function<std::vector<crash_record>(time_point since)> list_crash_records;
@@ -43,6 +43,10 @@
     std::function<std::vector<crash_record>()> take_records_to_relay;
     /// Returns the crash records that a host which has just started needs first.
     std::function<std::vector<crash_record>()> list_records_for_newcomer;
+    /// Returns the parts of suspected requests that this host has claimed since a time.
+    std::function<std::vector<std::string>(time_point since)> list_trials;
+    /// Called with the parts that another host has claimed.
+    std::function<void(const std::string& host, const std::vector<std::string>& parts)> on_peer_trials;
     /// Called with the crash records and started parts that another host has reported.
     std::function<void(const std::vector<crash_record>&, const std::vector<part_start>&)> on_peer_crash_records;
 };
@@ -61,6 +65,8 @@
     /// Growth per receiving host of the report interval for urgent changes: 24 ms in a fleet of 60, which keeps the
     /// traffic low enough for small links.
     static constexpr std::chrono::microseconds urgent_interval_per_peer{400};
+    /// How long a report may take to another host of the region and until it is read there.
+    static constexpr milliseconds max_transfer_time{30};
     /// Longest interval without a report when no work starts or ends, since the KV cache of running streams still
     /// grows.
     static constexpr milliseconds idle_report_interval{150};
@@ -97,6 +103,9 @@
     /// Returns the interval between reports of urgent changes.
     std::chrono::microseconds urgent_report_interval() const;
 
+    /// Returns within what time urgent changes of two hosts reach each other unless a datagram is lost.
+    milliseconds exchange_time() const;
+
     /// Schedules a report of changed loads, after the urgent interval if the change is urgent.
     void mark_changed(bool is_urgent);
 
@@ -111,6 +120,7 @@
     void add_loads(wire::LoadReport& report);
     void add_revisions(wire::LoadReport& report);
     void add_crash_records(wire::LoadReport& report, time_point now);
+    void add_trials(wire::LoadReport& report) const;
     void apply_crash_records(const wire::LoadReport& report, time_point now);
     void answer_newcomer(const std::string& name, const boost::asio::ip::udp::endpoint& address);
     void apply_report(std::string_view bytes, const boost::asio::ip::udp::endpoint& sender);
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -93,7 +93,7 @@
 } // namespace
 
 model_forwarder::model_forwarder(forward_context& context, active_request active)
-    : context(context), active(active), relay(active.request.last_event_id)
+    : context(context), active(active), trial(context, active.request.traits), relay(active.request.last_event_id)
 {
 }
 
@@ -248,6 +248,8 @@
 {
     if (this->is_quarantined())
         co_return next_step::retry;
+    if (!this->last_event_at && !co_await this->trial.admit(this->active.canceller))
+        co_return next_step::retry;
     if (reserved.engines.prefill) {
         const endpoint prefill_engine = *reserved.engines.prefill;
         if (!this->try_spend_retry_budget(this->delivered_prefill_calls))
@@ -533,9 +535,11 @@
         std::string new_events = is_end ? this->relay.take_remainder() : this->relay.push(*chunk);
         call->load->add_tokens((this->relay.event_count() - events_before) * this->tokens_per_event());
         if (!new_events.empty()) {
-            if (!this->last_event_at)
+            if (!this->last_event_at) {
                 this->context.suspects.record_answer_start(call->target.incarnation(), this->active.request.traits,
                                                            runtime_clock::now());
+                this->trial.end(false);
+            }
             this->record_event_time();
             last_progress_at = runtime_clock::now();
             const bool is_written = co_await this->active.caller.write(std::move(new_events));
@@ -628,8 +632,10 @@
                                    {"left_ms", std::to_string(this->active.canceller.time_left().count())},
                                    {"prompt_parts", join(this->active.request.prompt_parts)},
                                    {"cause", describe(reason)}});
-    if (reason.kind == error_kind::connection_lost && !this->relay.last_event_id())
+    if (reason.kind == error_kind::connection_lost && !this->relay.last_event_id()) {
         this->context.record_lost_request(call.target, this->active.request.traits, call.sent_at);
+        this->trial.end(true);
+    }
     if (!this->active.canceller.is_caller_disconnected())
         this->context.record_call_failure(call.target.incarnation(), reason.kind);
     return next_step::retry;
@@ -747,7 +753,7 @@
 {
     if (this->last_event_at)
         return false;
-    return this->context.is_quarantined(this->active.request.traits, this->run_count > 0);
+    return this->trial.is_refused() || this->context.is_quarantined(this->active.request.traits, this->run_count > 0);
 }
 
 std::optional<error> model_forwarder::reason_to_stop() const
--- a/src/forward/model_forwarder.h
+++ b/src/forward/model_forwarder.h
@@ -99,6 +99,7 @@
 
     forward_context& context;
     active_request active;
+    suspect_trial trial;
     excluded_endpoints excluded_engines;
     /// Those of the excluded engines that were full.
     excluded_endpoints rejecting_engines;
--- a/src/forward/plain_forwarder.cpp
+++ b/src/forward/plain_forwarder.cpp
@@ -11,7 +11,10 @@
 
 namespace asio = boost::asio;
 
-plain_forwarder::plain_forwarder(forward_context& context, active_request active) : context(context), active(active) {}
+plain_forwarder::plain_forwarder(forward_context& context, active_request active)
+    : context(context), active(active), trial(context, active.request.traits)
+{
+}
 
 asio::awaitable<request_outcome> plain_forwarder::run()
 {
@@ -24,7 +27,7 @@
             this->stop_reason = to_error(*no_endpoint_cause);
             break;
         }
-        if (this->is_quarantined())
+        if (this->is_quarantined() || !co_await this->trial.admit(this->active.canceller))
             continue;
         if (this->delivered_calls > 0 && !this->context.budget.try_spend(this->active.service, runtime_clock::now())) {
             this->stop_reason =
@@ -118,6 +121,7 @@
                                       {"endpoint", target.id},
                                       {"traits", join(this->active.request.traits)}});
         this->context.record_lost_request(target, this->active.request.traits, sent_at);
+        this->trial.end(true);
     }
     this->context.record_call_failure(target.incarnation(), reason.kind);
     return next_step::retry;
@@ -151,11 +155,12 @@
     return is_success || !this->active.matched_route.is_repeatable ? next_step::done : next_step::retry;
 }
 
-/// Returns whether endpoints have crashed on the request. Losses that are not confirmed do not count: plain endpoints
-/// that run on may reset calls, too.
+/// Returns whether endpoints have crashed on the request. Losses that are not confirmed count for a trial only: plain
+/// endpoints that run on may reset calls, too.
 bool plain_forwarder::is_quarantined() const
 {
-    return this->context.is_quarantined(this->active.request.traits, false);
+    return this->trial.is_refused() ||
+           this->context.is_quarantined(this->active.request.traits, this->trial.is_trial());
 }
 
 std::optional<error> plain_forwarder::reason_to_stop()
--- a/src/forward/plain_forwarder.h
+++ b/src/forward/plain_forwarder.h
@@ -7,6 +7,7 @@
 
 #include "forward/call_canceller.h"
 #include "forward/forward_context.h"
+#include "forward/suspect_trial.h"
 
 namespace radishstep::forward {
 
@@ -71,6 +72,7 @@
 
     forward_context& context;
     active_request active;
+    suspect_trial trial;
     excluded_endpoints tried_endpoints;
     endpoint chosen_endpoint;
     /// The newest answer of an endpoint; sent to the caller when no retry follows.
--- /dev/null
+++ b/src/forward/suspect_trial.cpp
@@ -0,0 +1,61 @@
+#include "forward/suspect_trial.h"
+
+#include <utility>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/text.h"
+
+namespace radishstep::forward {
+
+namespace asio = boost::asio;
+
+suspect_trial::suspect_trial(forward_context& context, const std::vector<std::string>& traits)
+    : context(context), traits(traits)
+{
+}
+
+suspect_trial::~suspect_trial()
+{
+    this->end(false);
+}
+
+asio::awaitable<bool> suspect_trial::admit(call_canceller& canceller)
+{
+    if (this->is_trial())
+        co_return true;
+    std::vector<std::string> suspected = this->suspected_parts();
+    if (this->context.trials.claimed_until(suspected, runtime_clock::now())) {
+        // Another host's trial may have been answered a moment ago.
+        co_await canceller.wait_for(this->context.trials.settle_time());
+        suspected = this->suspected_parts();
+    }
+    if (suspected.empty())
+        co_return true;
+    if (!this->context.trials.claim(suspected, runtime_clock::now())) {
+        this->has_been_refused = true;
+        co_return false;
+    }
+    this->claimed = std::move(suspected);
+    co_await canceller.wait_for(this->context.trials.settle_time());
+    this->has_been_refused = !this->context.trials.confirm(this->claimed);
+    if (!this->has_been_refused) {
+        count("radishstep_forward_suspect_trials_total");
+        log_state("suspect_trial", {{"parts", join(this->claimed)}});
+    }
+    co_return !this->has_been_refused;
+}
+
+std::vector<std::string> suspect_trial::suspected_parts() const
+{
+    return this->context.suspects.suspected_parts(this->traits, runtime_clock::now());
+}
+
+void suspect_trial::end(bool is_lost)
+{
+    if (!this->is_trial() || std::exchange(this->has_ended, true))
+        return;
+    this->context.trials.end(this->claimed, is_lost, runtime_clock::now());
+}
+
+} // namespace radishstep::forward
--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -219,4 +219,7 @@
   10: optional list<StartedPart> started
   // Known to the host, whoever observed them; hosts of earlier versions don't pass them on. Left out when empty.
   11: optional list<CrashedRequest> relayed
+  // Parts of requests that crashed endpoints, of which the host sends one to learn whether they still do. Left out when
+  // empty.
+  12: optional list<string> trials
 }
