Tests: answers that end inside their head are never complete

Another operator's clients got a 200 with an empty or short body, framed as whole, when an engine stopped inside the head of its answer and closed. Looked for here: each answer was cut after every byte of its head, closed and reset in turn, with a length, with chunks and with neither, on plain, non-idempotent, streaming and resumable routes, and while a broken stream is resumed. Each call reached an endpoint and ended in 502 or 504, or in a cut stream; no fault. The parser ends a head that is cut with an error before anything is passed on. The tests stay as guards.

--- a/tests/platform/test_unframed_answers.cpp
+++ b/tests/platform/test_unframed_answers.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(plain_answer_that_stays_open_is_not_complete);
     CPPUNIT_TEST(fields_after_the_last_chunk_decide_nothing);
     CPPUNIT_TEST(announced_length_beyond_the_bound_costs_no_memory);
+    CPPUNIT_TEST(answer_that_ends_inside_its_head_is_not_complete);
+    CPPUNIT_TEST(head_cut_while_a_stream_is_resumed_does_not_complete_it);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -230,6 +232,57 @@
         }
     }
 
+    /// Returns a script that ends each answer after `size` bytes, inside its head.
+    static answer_script cut_head(answer_builder build, std::size_t size, answer_end end)
+    {
+        return [build, size, end](const engine_call& call) -> scripted_answer {
+            return {{stream_answer(call, build, standin_engine::stream_events, "").substr(0, size)}, end};
+        };
+    }
+
+    static std::size_t head_size(answer_builder build)
+    {
+        engine_call call;
+        call.id = "attempt-1";
+        return stream_answer(call, build, standin_engine::stream_events, "").find("\r\n\r\n") + 4;
+    }
+
+    // Failure: an endpoint that closed inside the head of its answer got its caller a 200 with an empty body.
+    void answer_that_ends_inside_its_head_is_not_complete()
+    {
+        for (const answer_builder build : framings) {
+            for (std::size_t size = 0; size < head_size(build); ++size) {
+                this->set_script(cut_head(build, size, size % 2 == 0 ? answer_end::close : answer_end::reset));
+                for (const char* path : {"/plain/1", "/once/1", "/stream/1", "/resume/1"}) {
+                    const int runs_before = this->total_runs();
+                    const site_response response = this->call(path);
+                    const std::string step = path + std::string{" "} + std::to_string(size);
+                    CPPUNIT_ASSERT_MESSAGE(step, response.status >= status_bad_gateway);
+                    CPPUNIT_ASSERT_MESSAGE(step, this->total_runs() > runs_before);
+                }
+            }
+        }
+    }
+
+    // Failure: as above, by the engine that goes on with a broken stream.
+    void head_cut_while_a_stream_is_resumed_does_not_complete_it()
+    {
+        for (const answer_builder build : framings) {
+            const std::size_t whole_head = head_size(build);
+            for (const std::size_t size : {whole_head / 2, whole_head - 2, whole_head - 1}) {
+                this->set_script([build, size](const engine_call& call) -> scripted_answer {
+                    if (is_resumed(call))
+                        return cut_head(build, size, answer_end::close)(call);
+                    return torn_stream(build, answer_end::close)(call);
+                });
+                const site_response response = this->call("/resume/1", 1'500);
+                CPPUNIT_ASSERT_EQUAL(status_ok, response.status);
+                CPPUNIT_ASSERT(!response.is_complete);
+                CPPUNIT_ASSERT(whole_stream("attempt-1").starts_with(response.body));
+            }
+        }
+    }
+
 private:
     std::unique_ptr<platform_site> site;
 };
