Planned stop: refuse what arrives late and answer what is left at the end

It happens here: a request on an open connection whose last bytes arrived 6.3 s after SIGTERM was sent to an endpoint that took 2 s, ran, and got no answer; so did a stream without a head that was in progress at the end.

Cause: a stopping host compared its end with the typical duration of a call only, and ended with the process whatever was still in progress then.

Half a second before the grace time is over, requests whose response has not started are ended like ones whose deadline has passed, with 502 or 504, as they may have run. A started stream still gets the whole time. A call that ends since its time is over is not taken for a lost request any more.

--- a/src/forward/call_canceller.cpp
+++ b/src/forward/call_canceller.cpp
@@ -1,5 +1,7 @@
 #include "forward/call_canceller.h"
 
+#include <algorithm>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -52,6 +54,12 @@
     this->running_call = nullptr;
 }
 
+void call_canceller::expire()
+{
+    this->request_deadline = std::min(this->request_deadline, runtime_clock::now());
+    this->cancel_call();
+}
+
 milliseconds call_canceller::time_left() const
 {
     const auto remaining = std::chrono::duration_cast<milliseconds>(this->request_deadline - runtime_clock::now());
--- a/src/forward/call_canceller.h
+++ b/src/forward/call_canceller.h
@@ -29,6 +29,16 @@
     /// Stops the deadline timer and drops the abort handle of the running call, which is not aborted.
     void stop();
 
+    /// Ends the request now, as if its deadline had passed.
+    void expire();
+
+    /// Returns whether the deadline has passed. Calls that fail after it were cancelled by this host.
+    bool has_expired() const { return runtime_clock::now() >= this->request_deadline; }
+
+    /// Records that a part of the response has been sent, so that it can no longer be replaced.
+    void record_response_start() { this->response_started = true; }
+    bool has_response_started() const { return this->response_started; }
+
     /// Returns true once the caller has closed its connection.
     bool is_caller_disconnected() const { return this->has_disconnected; }
 
@@ -49,6 +59,7 @@
     time_point request_deadline;
     std::shared_ptr<http::call_abort> running_call;
     bool has_disconnected = false;
+    bool response_started = false;
 };
 
 } // namespace radishstep::forward
--- a/src/forward/forward_context.cpp
+++ b/src/forward/forward_context.cpp
@@ -151,6 +151,12 @@
                         : this->suspects.quarantined_until(traits, now).has_value();
 }
 
+bool forward_context::is_too_late_for_stop(time_point arrived_at, milliseconds timeout) const
+{
+    return this->stop_deadline && this->callers_moved_at && arrived_at >= *this->callers_moved_at &&
+           arrived_at + timeout > *this->stop_deadline;
+}
+
 void forward_context::mark_down(const std::string& incarnation)
 {
     this->suspects.record_endpoint_down(incarnation, runtime_clock::now());
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -45,8 +45,10 @@
     /// Durations of streams, by service.
     std::map<std::string, stream_time_estimate> stream_times;
     config_ptr config;
-    /// When the process ends, set once it has been told to stop.
+    /// When requests in progress end, set once the process has been told to stop.
     std::optional<time_point> stop_deadline;
+    /// From when on callers of a stopping process have had time to move to other hosts.
+    std::optional<time_point> callers_moved_at;
     /// Load reports arrive often enough that the loads of other hosts are known within a fraction of a plain
     /// call's duration.
     bool are_peer_loads_current = true;
@@ -73,6 +75,10 @@
     /// run already, crashes count that are not confirmed yet.
     bool is_quarantined(const std::vector<std::string>& traits, bool may_have_run) const;
 
+    /// Returns whether a request is refused at once since this process stops: its callers could have asked another
+    /// host, and it might not be answered by the time at which requests end.
+    bool is_too_late_for_stop(time_point arrived_at, milliseconds timeout) const;
+
     /// Marks an endpoint as down and schedules an urgent report to the other hosts.
     void mark_down(const std::string& incarnation);
 
--- a/src/forward/forward_server.cpp
+++ b/src/forward/forward_server.cpp
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "forward/capacity_wait.h"
 #include "forward/model_forwarder.h"
 #include "forward/request_rules.h"
 
@@ -81,6 +82,14 @@
     this->server.close_idle();
 }
 
+void forward_server::end_unanswered_requests()
+{
+    for (const auto& canceller : this->running) {
+        if (!canceller->has_response_started())
+            canceller->expire();
+    }
+}
+
 void forward_server::apply_limits(const caller_limits& limits)
 {
     this->server.set_limits(to_server_limits(limits));
@@ -115,7 +124,13 @@
     const std::string service = choose_service(*matched_route, this->context.draw());
     const auto timeout =
         parsed->patience ? std::min(*parsed->patience, matched_route->timeout) : matched_route->timeout;
+    if (this->context.is_too_late_for_stop(arrived_at, timeout)) {
+        const error reason = to_error(selection_failure::host_stopping);
+        co_await this->refuse(parsed->id, reason, caller, retry_after_delay(reason.kind, false, timeout));
+        co_return;
+    }
     const auto canceller = call_canceller::start(this->context.executor, caller, arrived_at + timeout);
+    this->running.insert(canceller);
     this->context.budget.record_request(service, arrived_at);
     const active_request active{*parsed, *config, *matched_route, service, caller, *canceller, arrived_at};
     request_outcome outcome;
@@ -127,6 +142,7 @@
         outcome = co_await forwarder.run();
     }
     canceller->stop();
+    this->running.erase(canceller);
     record_request_outcome(*parsed, *matched_route, outcome, arrived_at);
 }
 
--- a/src/forward/forward_server.h
+++ b/src/forward/forward_server.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 
 #include "forward/forward_context.h"
 #include "forward/plain_forwarder.h"
@@ -24,6 +25,9 @@
     /// Stops accepting connections and closes idle ones.
     void stop_accepting();
 
+    /// Ends all requests whose responses have not started, with an error each that says whether they may have run.
+    void end_unanswered_requests();
+
     /// Applies the configured limits for callers.
     void apply_limits(const caller_limits& limits);
 
@@ -40,6 +44,8 @@
 
     forward_context& context;
     http::server server;
+    /// Requests that are being forwarded.
+    std::set<std::shared_ptr<call_canceller>> running;
 };
 
 } // namespace radishstep::forward
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -69,6 +69,9 @@
 /// Part of the shutdown grace time reserved for the process to exit by itself.
 constexpr milliseconds shutdown_margin{250};
 
+/// Time before that in which requests that have no response yet are answered.
+constexpr milliseconds last_answers_time{250};
+
 constexpr milliseconds shutdown_poll_interval{20};
 
 /// Longest load report interval at which the loads of peers count as current, so that requests wait for free slots
@@ -468,14 +471,20 @@
 asio::awaitable<void> gateway::stop_gracefully()
 {
     const time_point deadline = runtime_clock::now() + this->settings.shutdown_grace - shutdown_margin;
-    this->context.stop_deadline = deadline;
+    const milliseconds accept_time = std::min(accept_time_after_stop, this->settings.shutdown_grace / 2);
+    this->context.stop_deadline = deadline - last_answers_time;
+    this->context.callers_moved_at = runtime_clock::now() + accept_time;
     this->phase_control.stop();
     this->caller_server->close_after_responses();
-    co_await pause_for(std::min(accept_time_after_stop, this->settings.shutdown_grace / 2));
+    co_await pause_for(accept_time);
     this->caller_server->stop_accepting();
     // A connection ends after its request, or soon if it carries none.
-    while (this->caller_server->open_connections() > 0 && runtime_clock::now() < deadline)
+    bool has_ended_requests = false;
+    while (this->caller_server->open_connections() > 0 && runtime_clock::now() < deadline) {
+        if (runtime_clock::now() >= *this->context.stop_deadline && !std::exchange(has_ended_requests, true))
+            this->caller_server->end_unanswered_requests();
         co_await pause_for(shutdown_poll_interval);
+    }
     log_state("stopped", {{"unfinished", std::to_string(this->caller_server->requests_in_progress())}});
     this->io.stop();
 }
--- a/src/forward/model_forwarder.cpp
+++ b/src/forward/model_forwarder.cpp
@@ -248,8 +248,11 @@
 {
     if (this->is_quarantined())
         co_return next_step::retry;
-    if (!this->last_event_at && !co_await this->trial.admit(this->active.canceller))
-        co_return next_step::retry;
+    if (!this->last_event_at) {
+        const bool is_admitted = co_await this->trial.admit(this->active.canceller);
+        if (!is_admitted)
+            co_return next_step::retry;
+    }
     if (reserved.engines.prefill) {
         const endpoint prefill_engine = *reserved.engines.prefill;
         if (!this->try_spend_retry_budget(this->delivered_prefill_calls))
@@ -508,6 +511,7 @@
     http::body_stream& stream = *call->stream;
     if (!this->has_started_response) {
         this->has_started_response = true;
+        this->active.canceller.record_response_start();
         http::response head = this->context.dialect.make_caller_head(stream.head());
         this->outcome.status = head.status;
         const bool is_head_sent = co_await this->active.caller.begin(std::move(head));
@@ -632,7 +636,8 @@
                                    {"left_ms", std::to_string(this->active.canceller.time_left().count())},
                                    {"prompt_parts", join(this->active.request.prompt_parts)},
                                    {"cause", describe(reason)}});
-    if (reason.kind == error_kind::connection_lost && !this->relay.last_event_id()) {
+    const bool is_lost = reason.kind == error_kind::connection_lost && !this->active.canceller.has_expired();
+    if (is_lost && !this->relay.last_event_id()) {
         this->context.record_lost_request(call.target, this->active.request.traits, call.sent_at);
         this->trial.end(true);
     }
--- a/src/forward/plain_forwarder.cpp
+++ b/src/forward/plain_forwarder.cpp
@@ -27,7 +27,10 @@
             this->stop_reason = to_error(*no_endpoint_cause);
             break;
         }
-        if (this->is_quarantined() || !co_await this->trial.admit(this->active.canceller))
+        if (this->is_quarantined())
+            continue;
+        const bool is_admitted = co_await this->trial.admit(this->active.canceller);
+        if (!is_admitted)
             continue;
         if (this->delivered_calls > 0 && !this->context.budget.try_spend(this->active.service, runtime_clock::now())) {
             this->stop_reason =
@@ -116,7 +119,7 @@
     }
     if (this->active.canceller.is_caller_disconnected())
         return next_step::done;
-    if (reason.kind == error_kind::connection_lost) {
+    if (reason.kind == error_kind::connection_lost && !this->active.canceller.has_expired()) {
         log_decision("request_lost", {{"request", this->active.request.id},
                                       {"endpoint", target.id},
                                       {"traits", join(this->active.request.traits)}});
--- a/tests/platform/test_troubled_servers.cpp
+++ b/tests/platform/test_troubled_servers.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(streams_waiting_at_a_stop_are_refused_or_complete);
     CPPUNIT_TEST(request_being_sent_at_a_stop_is_answered);
     CPPUNIT_TEST(request_on_a_connection_opened_before_the_listener_closes_is_answered);
+    CPPUNIT_TEST(request_that_arrives_late_in_a_stop_is_refused_unsent);
+    CPPUNIT_TEST(request_in_progress_at_the_end_of_a_stop_is_answered);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -206,6 +208,43 @@
         }
     }
 
+    // Failure: a request that may run once and arrived late in the grace time of a stop was sent to an endpoint and got
+    // no answer as the process ended.
+    void request_that_arrives_late_in_a_stop_is_refused_unsent()
+    {
+        this->start(2);
+        for (const char* id : {"p0", "p1"})
+            this->site->engine(id).set_work_time(2s);
+        asio::io_context io;
+        std::string head = request_head;
+        head.replace(head.find("/plain/1"), 8, "/once/1");
+        asio::ip::tcp::socket caller = this->connect(io);
+        asio::write(caller, asio::buffer(head + "bo"));
+        this->site->gateway()->signal(SIGTERM);
+        std::this_thread::sleep_for(6'300ms);
+        asio::write(caller, asio::buffer(std::string{"dy"}));
+        const std::string answer = read_to_end(caller);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503"));
+        CPPUNIT_ASSERT_EQUAL(0, this->site->engine("p0").runs() + this->site->engine("p1").runs());
+        CPPUNIT_ASSERT_EQUAL(0, this->site->gateway()->wait(3));
+    }
+
+    // Failure: a request that was still in progress at the end of the grace time of a stop got no answer.
+    void request_in_progress_at_the_end_of_a_stop_is_answered()
+    {
+        this->start(0, 1);
+        this->site->engine("d0").set_script([](const engine_call&) -> scripted_answer {
+            return {{"", "HTTP/1.1 200 Late\r\n\r\n"}, answer_end::close, true, 20s};
+        });
+        auto response = this->send("/stream/1", "attempt-1", 12'000);
+        CPPUNIT_ASSERT(wait_until([this] { return this->site->engine("d0").runs() == 1; }));
+        this->site->gateway()->signal(SIGTERM);
+        // It may have run, so that 503 would be wrong.
+        const unsigned status = response.get().status;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(status), status == 502U || status == 504U);
+        CPPUNIT_ASSERT_EQUAL(0, this->site->gateway()->wait(3));
+    }
+
 private:
     std::unique_ptr<platform_site> site;
 };
