--- a/src/forward/crash_suspects.cpp
+++ b/src/forward/crash_suspects.cpp
@@ -53,8 +53,8 @@
     return record.cleared == copy.cleared && record.is_refuted == copy.is_refuted;
 }
 
-/// Returns whether two crashes, `earlier` first, may be one failure of several endpoints. A request that was sent to its
-/// endpoint after the earlier crash and was lost there, too, shows that they are not.
+/// Returns whether two crashes, `earlier` first, may be one failure of several endpoints. A request that was sent to
+/// its endpoint after the earlier crash and was lost there, too, shows that they are not.
 bool may_be_one_failure(time_point earlier, const crash_record& later)
 {
     const bool was_sent_later = later.ran_for && earlier <= later.crashed_at - *later.ran_for;
--- a/src/forward/crash_suspects.h
+++ b/src/forward/crash_suspects.h
@@ -115,7 +115,8 @@
     static constexpr std::size_t max_reported_records = 8;
     static constexpr std::size_t max_reported_starts = 32;
 
-    /// Called with each record that this host learns of, its own or another host's, and with what is known of its parts.
+    /// Called with each record that this host learns of, its own or another host's, and with what is known of its
+    /// parts.
     std::function<void(const crash_record&, const crash_tally&)> on_record;
     /// Called when a quarantine starts or changes.
     std::function<void(const part_quarantine&)> on_quarantine;
--- a/src/forward/load_report_exchange.cpp
+++ b/src/forward/load_report_exchange.cpp
@@ -82,10 +82,11 @@
 {
     for (const wire::CrashedRequest& row : rows | std::views::take(crash_suspects::max_reported_records)) {
         const auto age = milliseconds{std::max(row.age_ms, 0)} + std::chrono::microseconds{std::max(row.age_us, 0)};
-        records.push_back({row.endpoint, row.parts, now - age, host, static_cast<std::uint32_t>(row.cleared),
-                           row.refuted});
+        records.push_back(
+            {row.endpoint, row.parts, now - age, host, static_cast<std::uint32_t>(row.cleared), row.refuted});
         if (row.__isset.ran_us)
-            records.back().ran_for = std::chrono::microseconds{std::clamp<std::int64_t>(row.ran_us, 0, max_reported_run.count())};
+            records.back().ran_for =
+                std::chrono::microseconds{std::clamp<std::int64_t>(row.ran_us, 0, max_reported_run.count())};
     }
 }
 
--- a/tests/forward/test_watches_and_reports.cpp
+++ b/tests/forward/test_watches_and_reports.cpp
@@ -186,9 +186,8 @@
         known.suspects.apply_peer_records(
             {{"a", {"p", "q"}, now - 4s, "gone", 2}, {"b", {"p", "q"}, now - 2s, "gone", 2}}, now);
         // Two crashes of which only the time that the requests ran shows that they are separate.
-        known.suspects.apply_peer_records({{"c", {"r"}, now - 2s, "gone", 0, false, 90ms},
-                                           {"d", {"r"}, now - 1'900ms, "gone", 0, false, 80ms}},
-                                          now);
+        known.suspects.apply_peer_records(
+            {{"c", {"r"}, now - 2s, "gone", 0, false, 90ms}, {"d", {"r"}, now - 1'900ms, "gone", 0, false, 80ms}}, now);
         const reserved_address known_address;
         const reserved_address started_address;
         open(known, "known", known_address.text());
--- a/tests/platform/test_deadly_bursts.cpp
+++ b/tests/platform/test_deadly_bursts.cpp
@@ -106,8 +106,8 @@
         this->send_burst("third", 2 * host_count);
         this->send_burst("fourth", 2 * host_count);
         const auto received = this->deadly_calls();
-        const auto further = std::ranges::count_if(
-            received, [third_crash](time_point at) { return at > third_crash + time_to_learn; });
+        const auto further =
+            std::ranges::count_if(received, [third_crash](time_point at) { return at > third_crash + time_to_learn; });
         CPPUNIT_ASSERT_MESSAGE(std::to_string(further) + " further calls", further <= max_further_calls);
         for (std::size_t host = 0; host < host_count; ++host) {
             CPPUNIT_ASSERT_EQUAL(status_unavailable, this->call("last-" + std::to_string(host), "deadly", host).status);
--- a/tests/platform/test_streams.cpp
+++ b/tests/platform/test_streams.cpp
@@ -43,7 +43,8 @@
     {
         const std::string log = this->site->log();
         int count = 0;
-        for (std::size_t at = log.find("stream_broken"); at != std::string::npos; at = log.find("stream_broken", at + 1))
+        for (std::size_t at = log.find("stream_broken"); at != std::string::npos;
+             at = log.find("stream_broken", at + 1))
             ++count;
         return count;
     }
