HTTP client: close idle connections that no call can use

Cause: an idle connection was looked at only when a call to its address took it, and endpoints that are gone are never called again; the map of addresses only grew.

Change: while calls are made, every two seconds the pool closes idle connections whose endpoint has closed them or whose announced time is over, and forgets addresses without any. Beyond 1,024 idle connections in all, the least recently used one goes first. The check reads nothing from a connection and leaves no operation pending on it, so that programs that end with their last call still do. The entry and the broker use the same pool.

Not done of that fault: the bound does not follow max_fds, accept still tries again at once when descriptors run out, and readiness does not say so.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -26,6 +26,10 @@
 namespace {
 
 constexpr std::size_t max_idle_connections_per_address = 64;
+/// Bound of all idle connections; a small host may have 4,100 descriptors open, callers' connections included.
+constexpr std::size_t max_idle_connections = 1'024;
+/// How often idle connections are checked while calls are made. Some are to endpoints that no call goes to any more.
+constexpr milliseconds idle_check_interval{2'000};
 constexpr std::size_t stream_read_bytes = 8UL * 1024;
 /// Longest response head, and longest part of a response that must be complete to be parsed, such as a chunk header.
 constexpr std::size_t max_head_bytes = 16UL * 1024;
@@ -153,40 +157,82 @@
 struct client::idle_pool
 {
     asio::any_io_executor executor;
+    /// The connections of each address in the order of their last use; no entry is empty.
     std::map<std::string, std::deque<connection_ptr>> by_address;
+    std::size_t idle_connections = 0;
+    time_point last_check_at;
     /// Bytes beyond the guaranteed ones of all responses that call() is reading.
     std::size_t buffered_bytes = 0;
 
+    /// Returns whether a call may use an idle connection. One on which something arrives was closed by the endpoint or
+    /// carries bytes that no request asked for.
+    static bool is_usable(connection& idle)
+    {
+        return idle.idle_since + idle.keep_alive_timeout > runtime_clock::now() && is_quiet(idle);
+    }
+
     connection_ptr acquire_idle(const std::string& address)
     {
-        auto& queue = this->by_address[address];
-        while (!queue.empty()) {
-            connection_ptr candidate = queue.back();
+        const auto found = this->by_address.find(address);
+        if (found == this->by_address.end())
+            return nullptr;
+        auto& queue = found->second;
+        connection_ptr usable;
+        while (!usable && !queue.empty()) {
+            if (is_usable(*queue.back()))
+                usable = queue.back();
             queue.pop_back();
-            const bool is_within_keep_alive =
-                candidate->idle_since + candidate->keep_alive_timeout > runtime_clock::now();
-            // An idle connection on which something arrives was closed by the endpoint or carries bytes that no request
-            // asked for.
-            if (is_within_keep_alive && is_quiet(*candidate))
-                return candidate;
+            --this->idle_connections;
         }
-        return nullptr;
+        if (queue.empty())
+            this->by_address.erase(found);
+        return usable;
+    }
+
+    /// Closes the idle connections that no call could use.
+    void close_unusable()
+    {
+        const time_point now = runtime_clock::now();
+        if (now < this->last_check_at + idle_check_interval)
+            return;
+        this->last_check_at = now;
+        for (auto& [address, queue] : this->by_address)
+            this->idle_connections -=
+                std::erase_if(queue, [](const connection_ptr& idle) { return !is_usable(*idle); });
+        std::erase_if(this->by_address, [](const auto& entry) { return entry.second.empty(); });
+        set_gauge("radishstep_http_idle_connections", static_cast<double>(this->idle_connections));
+    }
+
+    void close_least_recently_used()
+    {
+        const auto oldest = std::ranges::min_element(
+            this->by_address, {}, [](const auto& entry) { return entry.second.front()->idle_since; });
+        oldest->second.pop_front();
+        --this->idle_connections;
+        if (oldest->second.empty())
+            this->by_address.erase(oldest);
     }
 
     void release_idle(const std::string& address, connection_ptr released)
     {
-        auto& queue = this->by_address[address];
-        if (queue.size() >= max_idle_connections_per_address || released->buffer.size() != 0)
+        if (released->buffer.size() != 0)
+            return;
+        const auto known = this->by_address.find(address);
+        if (known != this->by_address.end() && known->second.size() >= max_idle_connections_per_address)
             return;
+        if (this->idle_connections >= max_idle_connections)
+            this->close_least_recently_used();
         released->idle_since = runtime_clock::now();
         released->stream.expires_never();
-        queue.push_back(std::move(released));
+        this->by_address[address].push_back(std::move(released));
+        ++this->idle_connections;
     }
 
     asio::awaitable<result<connection_ptr>> acquire_or_connect(std::string address, const call_options& options)
     {
         if (options.abort && options.abort->is_aborted())
             co_return fail(error_kind::not_sent, "the call was aborted", "");
+        this->close_unusable();
         if (!options.fresh_connection) {
             if (connection_ptr reused = this->acquire_idle(address))
                 co_return reused;
--- a/tests/platform/test_troubled_servers.cpp
+++ b/tests/platform/test_troubled_servers.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(streams_waiting_at_a_stop_are_refused_or_complete);
     CPPUNIT_TEST(request_being_sent_at_a_stop_is_answered);
     CPPUNIT_TEST(request_on_a_connection_opened_before_the_listener_closes_is_answered);
+    CPPUNIT_TEST(connections_to_endpoints_that_are_gone_are_closed);
     CPPUNIT_TEST(request_that_arrives_late_in_a_stop_is_refused_unsent);
     CPPUNIT_TEST(request_in_progress_at_the_end_of_a_stop_is_answered);
     CPPUNIT_TEST_SUITE_END();
@@ -208,6 +209,35 @@
         }
     }
 
+    // Failure: each endpoint that was replaced left up to 64 connections, until no descriptor was left for a new one.
+    void connections_to_endpoints_that_are_gone_are_closed()
+    {
+        constexpr int endpoints = 4;
+        constexpr std::size_t calls = 48;
+        this->start(endpoints, 0);
+        const std::size_t files_before = this->site->gateway()->open_files();
+        for (int i = 0; i < endpoints; ++i)
+            this->site->engine("p" + std::to_string(i)).set_work_time(300ms);
+        std::vector<std::future<site_response>> running;
+        for (std::size_t i = 0; i < calls; ++i)
+            running.push_back(this->send("/plain/1", "attempt-" + std::to_string(i)));
+        for (auto& response : running)
+            response.wait();
+        const std::size_t files_of_idle_connections = this->site->gateway()->open_files() - files_before;
+        CPPUNIT_ASSERT(files_of_idle_connections >= calls / 4);
+        for (int i = 1; i < endpoints; ++i) {
+            this->site->engine("p" + std::to_string(i)).crash();
+            this->site->store->remove(this->site->engine("p" + std::to_string(i)).key());
+        }
+        // Three of four endpoints are gone; the last one goes on serving.
+        CPPUNIT_ASSERT(wait_until(
+            [&] {
+                this->send("/plain/1", "after").wait();
+                return this->site->gateway()->open_files() <= files_before + files_of_idle_connections / 2;
+            },
+            6s));
+    }
+
     // Failure: a request that may run once and arrived late in the grace time of a stop was sent to an endpoint and got
     // no answer as the process ended.
     void request_that_arrives_late_in_a_stop_is_refused_unsent()
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -105,6 +106,13 @@
     return 0;
 }
 
+std::size_t process::open_files() const
+{
+    std::error_code ended;
+    const std::filesystem::directory_iterator files{"/proc/" + std::to_string(this->pid) + "/fd", ended};
+    return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
 double process::cpu_seconds() const
 {
     std::ifstream file{"/proc/" + std::to_string(this->pid) + "/stat"};
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -37,6 +37,9 @@
     /// Returns the largest memory that the process has used so far, in MB; 0 if it has ended.
     long peak_memory_mb() const;
 
+    /// Returns the number of the process's open files; 0 if it has ended.
+    std::size_t open_files() const;
+
 private:
     pid_t pid = -1;
     int exit_code = -1;
