HTTP server: pause while no connection can be accepted, and say so

Change: accept is tried again every 50 ms, while callers wait in the listener's queue. A gateway that failed to accept within the last second is not ready and closes its idle connections to endpoints, whose descriptors callers need more; after that second it is ready again even if no caller has come, since the platform sends none to a host that is not ready. A counter and two lines tell of it.

--- a/src/forward/forward_server.h
+++ b/src/forward/forward_server.h
@@ -31,6 +31,9 @@
     /// Applies the configured limits for callers.
     void apply_limits(const caller_limits& limits);
 
+    /// Returns whether a caller's connection could not be accepted within the last second.
+    bool has_accept_failed() const { return this->server.has_accept_failed(); }
+
     /// Returns the number of callers' connections.
     std::size_t open_connections() const { return this->server.open_connections(); }
 
--- a/src/forward/gateway.cpp
+++ b/src/forward/gateway.cpp
@@ -200,7 +200,8 @@
 
 bool gateway::is_ready() const
 {
-    return this->context.config && this->has_endpoints && !this->is_stopping;
+    return this->context.config && this->has_endpoints && !this->is_stopping &&
+           !this->caller_server->has_accept_failed();
 }
 
 http::response gateway::readiness_response() const
@@ -414,6 +415,8 @@
         for (const endpoint& dropped : this->context.directory.remove_expired(now))
             log_state("endpoint_gone",
                       {{"endpoint", dropped.id}, {"cause", "did not register again after the outage"}});
+        if (this->caller_server->has_accept_failed())
+            this->context.http_client.close_idle();
         this->context.health.expire_records(now);
         this->context.suspects.expire(now);
         this->context.trials.expire(now);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -449,6 +449,12 @@
 
 client::~client() = default;
 
+void client::close_idle()
+{
+    this->idle_connections->by_address.clear();
+    this->idle_connections->idle_connections = 0;
+}
+
 asio::awaitable<result<response>> client::call(std::string address, request outgoing, call_options options)
 {
     const auto pool = this->idle_connections;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -108,6 +108,9 @@
     boost::asio::awaitable<result<std::unique_ptr<body_stream>>> send(std::string address, request outgoing,
                                                                       call_options options);
 
+    /// Closes all connections without a call, whose descriptors are needed.
+    void close_idle();
+
     /// Connections that stay open between calls.
     struct idle_pool;
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -19,6 +19,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/pause.h"
 #include "base/runtime_clock.h"
 #include "base/text.h"
 #include "http/dead_peer.h"
@@ -40,6 +41,8 @@
     std::size_t requests = 0;
     bool is_draining = false;
     bool is_keep_alive_enabled = true;
+    /// When a connection could not be accepted, until the next one is.
+    std::optional<time_point> accept_failed_at;
     /// Functions that close the connections waiting for their next request, keyed by session.
     std::map<const void*, std::function<void()>> idle_closers;
 };
@@ -59,6 +62,12 @@
 /// its request at once.
 constexpr milliseconds draining_idle_timeout{500};
 
+/// Pause before connections are accepted again after a failure, such as for want of descriptors.
+constexpr milliseconds accept_retry_interval{50};
+
+/// How long a failure counts. Not until the next connection: callers may have gone to other hosts.
+constexpr milliseconds accept_failure_lifetime{1'000};
+
 /// A connection stays open this much longer than its caller is told, so that a request that is sent just in time does
 /// not cross the close: more than a round trip to distant callers and the delays of a busy host.
 constexpr milliseconds idle_announcement_margin{1'000};
@@ -462,8 +471,17 @@
         auto socket = co_await state->listener.async_accept(asio::redirect_error(asio::use_awaitable, failure));
         if (failure == asio::error::operation_aborted || failure == asio::error::bad_descriptor)
             co_return;
-        if (!failure)
-            start_session(std::move(socket), state);
+        if (failure) {
+            count("radishstep_http_accept_failures_total");
+            if (!state->accept_failed_at)
+                log_problem("accept_failed", {{"cause", failure.message()}});
+            state->accept_failed_at = runtime_clock::now();
+            co_await pause_for(accept_retry_interval);
+            continue;
+        }
+        if (std::exchange(state->accept_failed_at, std::nullopt))
+            log_state("accept_resumed", {});
+        start_session(std::move(socket), state);
     }
 }
 
@@ -483,8 +501,16 @@
 
 server::server(asio::ip::tcp::acceptor listener, server_limits limits, request_handler handler,
                refusal_builder make_refusal)
-    : state(std::make_shared<shared_state>(shared_state{
-          std::move(listener), limits, std::move(handler), std::move(make_refusal), 0, 0, false, true, {}}))
+    : state(std::make_shared<shared_state>(shared_state{std::move(listener),
+                                                        limits,
+                                                        std::move(handler),
+                                                        std::move(make_refusal),
+                                                        0,
+                                                        0,
+                                                        false,
+                                                        true,
+                                                        std::nullopt,
+                                                        {}}))
 {
 }
 
@@ -535,6 +561,12 @@
     return this->state->requests;
 }
 
+bool server::has_accept_failed() const
+{
+    const auto& failed_at = this->state->accept_failed_at;
+    return failed_at && runtime_clock::now() < *failed_at + accept_failure_lifetime;
+}
+
 std::size_t server::open_connections() const
 {
     return this->state->connections;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -75,6 +75,9 @@
     /// Returns the number of connections.
     std::size_t open_connections() const;
 
+    /// Returns whether a connection could not be accepted within the last second, as when no descriptors are left.
+    bool has_accept_failed() const;
+
     /// State shared by the server and its connections.
     struct shared_state;
 
--- a/tests/unit/test_http_server.cpp
+++ b/tests/unit/test_http_server.cpp
@@ -1,3 +1,6 @@
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
@@ -15,6 +18,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "base/metrics.h"
 #include "base/runtime_clock.h"
 #include "entry/completion_api.h"
 #include "http/server.h"
@@ -105,6 +109,8 @@
         return failure;
     }
 
+    const asio::ip::tcp::endpoint& address() const { return this->endpoint; }
+
     std::atomic<int> handled_requests{0};
     std::atomic<int> disconnects{0};
 
@@ -231,6 +237,7 @@
     CPPUNIT_TEST(refusal_of_an_unread_body_is_not_followed_by_a_reset);
     CPPUNIT_TEST(request_that_arrives_before_the_idle_time_ends_is_answered);
     CPPUNIT_TEST(request_after_a_stream_that_a_stop_met_is_answered);
+    CPPUNIT_TEST(connections_wait_while_no_descriptors_are_left);
     CPPUNIT_TEST_SUITE_END();
 
     void malformed_request_is_refused_with_400_and_not_handled()
@@ -363,6 +370,49 @@
                                                               std::chrono::milliseconds{100}, "GET / HTTP/1.1\r\n\r\n");
         CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "HTTP/1.1 200") && contains(answer, "Connection: close"));
     }
+
+    static int accept_failures()
+    {
+        const std::string name = "radishstep_http_accept_failures_total ";
+        const std::string text = metrics_text();
+        const std::size_t at = text.find("\n" + name);
+        return at == std::string::npos ? 0 : std::stoi(text.substr(at + 1 + name.size()));
+    }
+
+    // Failure: a server without free descriptors tried to accept again and again without a pause, so that nothing else
+    // of its process ran.
+    void connections_wait_while_no_descriptors_are_left()
+    {
+        test_server running;
+        asio::io_context own;
+        std::vector<asio::ip::tcp::socket> callers;
+        for (int i = 0; i < 3; ++i) {
+            callers.emplace_back(own);
+            callers.back().open(asio::ip::tcp::v4());
+        }
+        rlimit before{};
+        CPPUNIT_ASSERT_EQUAL(0, ::getrlimit(RLIMIT_NOFILE, &before));
+        const int lowest_free = ::dup(callers.front().native_handle());
+        ::close(lowest_free);
+        rlimit exhausted = before;
+        exhausted.rlim_cur = static_cast<rlim_t>(lowest_free);
+        CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &exhausted));
+        for (auto& caller : callers)
+            caller.connect(running.address());
+        std::this_thread::sleep_for(std::chrono::milliseconds{500});
+        CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &before));
+        const int failures = accept_failures();
+        CPPUNIT_ASSERT(failures > 0);
+        constexpr int most_failures = 20;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(failures), failures <= most_failures);
+        for (auto& caller : callers) {
+            asio::write(caller, asio::buffer(std::string{"GET / HTTP/1.1\r\nConnection: close\r\n\r\n"}));
+            std::string answer;
+            boost::system::error_code end;
+            asio::read(caller, asio::dynamic_buffer(answer), end);
+            CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "HTTP/1.1 200"));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_http_server);
