Suspect trials: a refused trial ends no other request's claim

A request whose claim had been replaced by another host's ended, as it was refused, whatever claim its host held for the same parts by then. Seen by reading: it takes two requests at one host within milliseconds and the end of the other host's claim between them, so there is no test that plays it.

--- a/src/forward/suspect_trial.cpp
+++ b/src/forward/suspect_trial.cpp
@@ -53,7 +53,8 @@
 
 void suspect_trial::end(bool is_lost)
 {
-    if (!this->is_trial() || std::exchange(this->has_ended, true))
+    // A claim that was lost to another host's may be another request's by now.
+    if (!this->is_trial() || this->has_been_refused || std::exchange(this->has_ended, true))
         return;
     this->context.trials.end(this->claimed, is_lost, runtime_clock::now());
 }
