--- a/review/standins-2/standins.cpp
+++ b/review/standins-2/standins.cpp
@@ -555,13 +555,14 @@
     std::ofstream{settings_path} << settings.dump(2);
     const std::string log_path = this->folder + "/log";
     const std::string variable = "RADISHSTEP_SETTINGS=" + settings_path;
+    const rlim_t most_descriptors = settings["limits"]["max_fds"];
     this->process = fork();
     if (this->process == 0) {
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int log = ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
-        const rlimit descriptors{settings["limits"]["max_fds"], settings["limits"]["max_fds"]};
+        const rlimit descriptors{most_descriptors, most_descriptors};
         setrlimit(RLIMIT_NOFILE, &descriptors);
         const char* path_variable = "PATH=/usr/bin:/bin";
         char* environment[] = {const_cast<char*>(path_variable), const_cast<char*>(variable.c_str()), nullptr};
