review: stand-ins end their connections before what they refer to

The threads of a stand-in outlived it: two of five runs of case 8 aborted at their end and exited with 2.

--- a/review/standins-2/standins.cpp
+++ b/review/standins-2/standins.cpp
@@ -331,6 +331,16 @@
     shutdown(this->descriptor, SHUT_RDWR);
     this->acceptor.join();
     ::close(this->descriptor);
+    while (true) {
+        {
+            const std::scoped_lock lock{this->mutex};
+            if (this->open.empty())
+                return;
+            for (const int each : this->open)
+                shutdown(each, SHUT_RDWR);
+        }
+        sleep_ms(5);
+    }
 }
 
 void server::accept_all()
@@ -341,16 +351,23 @@
             continue;
         const int on = 1;
         setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        {
+            const std::scoped_lock lock{this->mutex};
+            this->open.insert(accepted);
+        }
         std::thread{[this, accepted] {
             connection caller{accepted};
-            while (!this->is_stopped) {
-                constexpr long idle_ms = 120'000;
+            constexpr long idle_ms = 120'000;
+            bool keep_open = true;
+            while (keep_open && !this->is_stopped) {
                 auto request = caller.read_head(idle_ms);
-                if (!request || (this->reads_body && !caller.read_body(*request, idle_ms)))
-                    break;
-                if (!this->handler(caller, *request))
-                    break;
+                keep_open = request && (!this->reads_body || caller.read_body(*request, idle_ms)) &&
+                            this->handler(caller, *request);
             }
+            // The number may be another connection's as soon as it is closed.
+            const std::scoped_lock lock{this->mutex};
+            this->open.erase(accepted);
+            caller.close();
         }}.detach();
     }
 }
@@ -720,7 +737,6 @@
     } catch (const std::exception& failure) {
         status = finish(2, failure.what());
     }
-    // Threads of stand-ins may still wait for their connections.
     std::cout.flush();
     _exit(status);
 }
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -92,7 +93,7 @@
                           const std::string& body);
 
 /// Accepts connections on a free port of 127.0.0.1 and handles each one's requests in a thread of its own. The handler
-/// returns whether the connection stays open.
+/// returns whether the connection stays open. Destruction ends the connections and waits for their threads.
 class server
 {
 public:
@@ -113,7 +114,9 @@
     int descriptor;
     int listen_port;
     std::atomic<bool> is_stopped = false;
-    std::atomic<int> running = 0;
+    std::mutex mutex;
+    /// Descriptors of the connections whose threads run.
+    std::set<int> open;
     std::thread acceptor;
 };
 
