--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -31,7 +31,8 @@
             constexpr long work_ms = 20;
             sleep_ms(work_ms);
             record(id + " runs " + attempt + " and answers " + std::to_string(status));
-            return caller.write(response_text(status, {{"Attempt-Id", attempt}, {"Server-Signature", id + "." + attempt}},
+            return caller.write(response_text(status,
+                                              {{"Attempt-Id", attempt}, {"Server-Signature", id + "." + attempt}},
                                               status == 200 ? "charged" : "charged, but the receipt failed"));
         });
     };
@@ -54,8 +55,8 @@
         for (int attempt = 1; attempt <= 2; ++attempt) {
             const std::string id = "charge-" + std::to_string(i) + "." + std::to_string(attempt);
             const auto caller = connection::open(host.front_port());
-            if (!caller || !caller->write(request_text("POST", "/charge/" + std::to_string(i), id, deadline_ms, "",
-                                                       "deposit")))
+            if (!caller ||
+                !caller->write(request_text("POST", "/charge/" + std::to_string(i), id, deadline_ms, "", "deposit")))
                 return finish(2, "the host takes no connection");
             const auto answer = caller->read_message(deadline_ms);
             const int status = answer ? answer->status : 0;
