--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -2,14 +2,15 @@
 
 #include <set>
 
-// A plain service with two endpoints. One is in trouble: it fails a part of its requests with a 503 of its own after it
-// has run them, without Not-Executed. The client repeats a request once after a 503, as the pages say.
+// A plain service with eight endpoints. One is in trouble: it fails a part of its requests with a 503 of its own after
+// it has run them, without Not-Executed. The client repeats a request once after a 503, as the pages say.
 
 using namespace standins;
 
 namespace {
 
-constexpr int request_count = 60;
+constexpr int request_count = 200;
+constexpr int sound_endpoints = 7;
 /// The endpoint in trouble fails 45 of 100 of its requests.
 constexpr int failed_of_100 = 45;
 constexpr long deadline_ms = 4'000;
@@ -36,13 +37,16 @@
                                               status == 200 ? "charged" : "charged, but the receipt failed"));
         });
     };
-    const auto sound = make_endpoint("app-1", false);
-    const auto troubled = make_endpoint("app-2", true);
+    std::vector<std::unique_ptr<server>> sound;
+    for (int i = 1; i <= sound_endpoints; ++i)
+        sound.push_back(make_endpoint("app-" + std::to_string(i), false));
+    const auto troubled = make_endpoint("app-troubled", true);
     store platform;
     platform.put("op/config", make_config(1, json::array({make_route("/charge/", "unsafe", "app", 2)}),
                                           json::array({json{{"name", "app"}}})));
-    platform.put("servers/app-1", endpoint_entry("app", sound->address(), 6));
-    platform.put("servers/app-2", endpoint_entry("app", troubled->address(), 6));
+    for (int i = 1; i <= sound_endpoints; ++i)
+        platform.put("servers/app-" + std::to_string(i), endpoint_entry("app", sound[i - 1]->address(), 6));
+    platform.put("servers/app-troubled", endpoint_entry("app", troubled->address(), 6));
     gateway host{"edge-sk-west-a-1", platform.address()};
     constexpr long start_ms = 10'000;
     if (!host.wait_ready(start_ms))
