Pass on no endpoint's answer whose status denies a run that took place

Cause: answers with the request's id and a signature were passed on whatever their status; only the router's own errors were checked (error_for_caller).

Two sentences of the users' pages pull apart: an endpoint's status is returned unchanged, and 408, 421, 429 and 503 mean that nothing has run. The second wins, since the caller can't tell who wrote the status and its repeat can't be undone, while a 502 costs it an error text. The signature goes with the status. Repeatable requests are treated alike.

Change: such an answer is a failed run. A repeatable request goes on to another endpoint, others end with 502. 429 and 408 of an endpoint no longer count as success, and no longer give a client account its quota back. A counter and a log line name the endpoint. Not-Executed beside a signature stays the endpoint's word that it did not run the call.

--- a/src/forward/gateway/forward_context.cpp
+++ b/src/forward/gateway/forward_context.cpp
@@ -151,6 +151,14 @@
                                   {"crashes", std::to_string(known.crashes)}});
 }
 
+void forward_context::report_untrue_refusal(const std::string& request_id, const endpoint& source,
+                                            unsigned status) const
+{
+    count("radishstep_forward_untrue_refusals_total", {{"status", std::to_string(status)}});
+    log_decision("untrue_refusal",
+                 {{"request", request_id}, {"endpoint", source.id}, {"status", std::to_string(status)}});
+}
+
 bool forward_context::is_quarantined(const std::vector<std::string>& traits, bool may_have_run) const
 {
     const time_point now = runtime_clock::now();
--- a/src/forward/gateway/forward_context.h
+++ b/src/forward/gateway/forward_context.h
@@ -78,6 +78,9 @@
     void report_suspect_send(const std::string& request_id, const endpoint& target,
                              const std::vector<std::string>& traits) const;
 
+    /// Logs and counts that an endpoint ran a request and answered it with a status which says that it did not.
+    void report_untrue_refusal(const std::string& request_id, const endpoint& source, unsigned status) const;
+
     /// Returns whether a request must not be sent because endpoints have crashed on such ones. For one that may have
     /// run already, crashes count that are not confirmed yet.
     bool is_quarantined(const std::vector<std::string>& traits, bool may_have_run) const;
--- a/src/forward/serving/model_forwarder.cpp
+++ b/src/forward/serving/model_forwarder.cpp
@@ -616,9 +616,15 @@
 /// Handles a response that is no event stream, usually an error. None of it may get into a stream that has begun.
 asio::awaitable<model_forwarder::next_step> model_forwarder::handle_plain_response(engine_call& call)
 {
-    const bool is_failure = call.stream->head().status >= min_failure_status || this->has_started_response;
+    const unsigned status = call.stream->head().status;
+    const bool is_failure = is_failure_status(status) || this->has_started_response;
     this->context.health.record_outcome(
         call.target.incarnation(), is_failure ? call_outcome::failed : call_outcome::answered, runtime_clock::now());
+    // The caller would take it as a promise that the request has not run, and may repeat it.
+    if (is_refusal_status(status)) {
+        this->context.report_untrue_refusal(this->active.request.id, call.target, status);
+        co_return next_step::retry;
+    }
     if (this->has_started_response || (is_failure && this->silent_call))
         co_return next_step::retry;
     if (is_failure && this->active.matched_route.is_repeatable &&
--- a/src/forward/serving/plain_forwarder.cpp
+++ b/src/forward/serving/plain_forwarder.cpp
@@ -90,13 +90,13 @@
         this->context.dialect.make_plain_call(this->active.request, target, this->active.canceller.time_left());
     auto answer = co_await this->context.http_client.call(target.address, std::move(call), std::move(options));
     if (answer)
-        this->log_call(target, sent_at, std::to_string(answer->status), answer->status >= min_failure_status);
+        this->log_call(target, sent_at, std::to_string(answer->status), is_failure_status(answer->status));
     else
         this->log_call(target, sent_at, describe(answer.error()), true);
     if (!answer)
         co_return this->handle_failure(target, sent_at, answer.error());
     const bool is_success =
-        answer->status < min_failure_status &&
+        !is_failure_status(answer->status) &&
         this->context.dialect.classify_answer(this->active.request, *answer) == answer_kind::executed;
     if (has_slot && is_success)
         this->record_pace(incarnation, sent_at);
@@ -167,8 +167,13 @@
     }
     ++this->run_count;
     this->context.suspects.record_answer_start(incarnation, this->active.request.traits, now);
-    const bool is_success = answer.status < min_failure_status;
+    const bool is_success = !is_failure_status(answer.status);
     this->context.health.record_outcome(incarnation, is_success ? call_outcome::answered : call_outcome::failed, now);
+    // The caller would take it as a promise that the request has not run, and may repeat it.
+    if (is_refusal_status(answer.status)) {
+        this->context.report_untrue_refusal(this->active.request.id, target, answer.status);
+        return next_step::retry;
+    }
     this->last_answer = std::move(answer);
     return is_success || !this->active.matched_route.is_repeatable ? next_step::done : next_step::retry;
 }
@@ -188,7 +193,8 @@
     if (this->is_quarantined())
         return quarantine_error();
     if (this->run_count > 0 && !this->active.matched_route.is_repeatable)
-        return error{error_kind::outcome_unknown, "the endpoint did not answer and may have run the request", ""};
+        return error{error_kind::outcome_unknown,
+                     "the endpoint may have run the request and its answer cannot be passed on", ""};
     if (this->run_count >= this->active.matched_route.max_endpoints)
         return error{error_kind::endpoint_failed, "no endpoint answered successfully", ""};
     if (this->active.canceller.time_left() < min_forward_time)
--- a/src/forward/serving/request_rules.cpp
+++ b/src/forward/serving/request_rules.cpp
@@ -22,7 +22,13 @@
     constexpr unsigned too_many_requests = 429;
     constexpr unsigned unavailable = 503;
     constexpr unsigned request_timeout = 408;
-    return status == too_many_requests || status == unavailable || status == request_timeout;
+    constexpr unsigned misdirected = 421;
+    return status == too_many_requests || status == unavailable || status == request_timeout || status == misdirected;
+}
+
+bool is_failure_status(unsigned status)
+{
+    return status >= min_failure_status || is_refusal_status(status);
 }
 
 error quarantine_error()
--- a/src/forward/serving/request_rules.h
+++ b/src/forward/serving/request_rules.h
@@ -20,14 +20,18 @@
 /// HTTP statuses from this one on count as endpoint failures.
 constexpr unsigned min_failure_status = 500;
 
-/// Returns whether a response of this host with that HTTP status says that the request has not run.
+/// Returns whether that HTTP status (408, 421, 429 or 503) tells a caller that its request has not run and never will.
 bool is_refusal_status(unsigned status);
 
+/// Returns whether an endpoint's answer with that HTTP status to a request that has run is a failure. A status that
+/// denies the run is one.
+bool is_failure_status(unsigned status);
+
 /// Returns the error for a request that is not sent because endpoints crashed on it or on parts of its prompt.
 error quarantine_error();
 
 /// Returns the error to send to the caller. If the request may have run, an error whose HTTP status means that it did
-/// not (408, 429, 503) is replaced by outcome_unknown.
+/// not (408, 421, 429, 503) is replaced by outcome_unknown.
 error error_for_caller(const error& reason, bool may_have_run);
 
 /// Returns the retry delay for a refused caller, or nothing if the request may have run. If the service was full, the
