Log and count crash evidence that is refuted or never comes

The logs couldn't tell whether a lost request had never been confirmed as a crash, or had been confirmed and was refuted later: both showed as "no quarantine".

Change: crash_refuted and loss_unconfirmed, a counter each.

--- a/src/forward/gateway/forward_context.cpp
+++ b/src/forward/gateway/forward_context.cpp
@@ -23,6 +23,21 @@
                                     {"crashes", std::to_string(known.crashes)}});
 }
 
+void report_refutation(const crash_record& record)
+{
+    count("radishstep_forward_crash_refutations_total");
+    const auto age = std::chrono::duration_cast<milliseconds>(runtime_clock::now() - record.crashed_at);
+    log_decision("crash_refuted", {{"endpoint", record.incarnation},
+                                   {"parts", join_first(record.parts)},
+                                   {"age_ms", std::to_string(age.count())}});
+}
+
+void report_unconfirmed(const crash_record& lost)
+{
+    count("radishstep_forward_losses_unconfirmed_total");
+    log_decision("loss_unconfirmed", {{"endpoint", lost.incarnation}, {"parts", join_first(lost.parts)}});
+}
+
 void report_quarantine(const part_quarantine& quarantine)
 {
     count("radishstep_forward_parts_quarantined_total");
@@ -92,6 +107,8 @@
       random(std::random_device{}())
 {
     this->suspects.on_record = report_record;
+    this->suspects.on_refutation = report_refutation;
+    this->suspects.on_unconfirmed = report_unconfirmed;
     this->suspects.on_quarantine = report_quarantine;
     this->suspects.on_release = [](const part_quarantine& quarantine) {
         log_state("part_released", {{"part", quarantine.part}, {"crashes", std::to_string(quarantine.crashes)}});
--- a/src/forward/suspects/crash_suspects.cpp
+++ b/src/forward/suspects/crash_suspects.cpp
@@ -224,7 +224,7 @@
     this->alive_at[incarnation] = now;
     for (stored_record& stored : this->records) {
         if (stored.record.incarnation == incarnation && stored.record.crashed_at + refutation_time < now)
-            stored.record.is_refuted = true;
+            this->refute(stored.record);
     }
 }
 
@@ -431,11 +431,9 @@
 
 void crash_suspects::expire(time_point now)
 {
-    const auto dropped =
-        std::erase_if(this->unconfirmed,
-                      [now](const crash_record& lost) { return lost.crashed_at + confirmation_time < now; }) +
-        std::erase_if(this->records,
-                      [now](const stored_record& stored) { return stored.record.crashed_at + record_lifetime < now; });
+    this->forget_unconfirmed(now);
+    const auto dropped = std::erase_if(
+        this->records, [now](const stored_record& stored) { return stored.record.crashed_at + record_lifetime < now; });
     if (dropped > 0)
         this->is_index_current = false;
     // A start clears its part as long as the records that it clears are there.
@@ -455,6 +453,25 @@
     });
 }
 
+void crash_suspects::refute(crash_record& record) const
+{
+    const bool was_counted = record.holds();
+    record.is_refuted = true;
+    if (was_counted && !record.holds() && this->on_refutation)
+        this->on_refutation(record);
+}
+
+void crash_suspects::forget_unconfirmed(time_point now)
+{
+    const auto is_over = [now](const crash_record& lost) { return lost.crashed_at + confirmation_time < now; };
+    for (const crash_record& lost : this->unconfirmed) {
+        if (is_over(lost) && this->on_unconfirmed)
+            this->on_unconfirmed(lost);
+    }
+    if (std::erase_if(this->unconfirmed, is_over) > 0)
+        this->is_index_current = false;
+}
+
 /// Marks the record of an endpoint that was replaced soon after the crash; one that is replaced later was restarted for
 /// another reason.
 void crash_suspects::mark_replaced(crash_record& record) const
--- a/src/forward/suspects/crash_suspects.h
+++ b/src/forward/suspects/crash_suspects.h
@@ -139,6 +139,10 @@
     /// Called with each record that this host learns of, its own or another host's, and with what is known of its
     /// parts.
     std::function<void(const crash_record&, const crash_tally&)> on_record;
+    /// Called when a record ceases to count because its endpoint has answered since.
+    std::function<void(const crash_record&)> on_refutation;
+    /// Called with each lost request that is forgotten because nothing showed in time that its endpoint was down.
+    std::function<void(const crash_record&)> on_unconfirmed;
     /// Called when a quarantine starts or changes.
     std::function<void(const part_quarantine&)> on_quarantine;
     /// Called when a quarantine has ended, or its part was cleared.
@@ -253,6 +257,8 @@
 
     const std::unordered_map<std::string, std::vector<part_place>>& places() const;
     void mark_replaced(crash_record& record) const;
+    void refute(crash_record& record) const;
+    void forget_unconfirmed(time_point now);
     void store(stored_record added);
     stored_record* find_record(const crash_record& wanted);
     void clear_started_parts(crash_record& record) const;
