Do not refute a crash that a refused connection has shown

Cause: the next process answers under the old registration, and an answer more than a second after a crash refuted the record, also if connections had been refused meanwhile.

Change: a refused connection is final for losses before it and up to a second after it. Reports to other hosts say so. A vanished registration and a 421 can still be refuted. Wire fields: DownEndpoint.refused (new), CrashedRequest.replaced is now `ended`, with the same number and effect.

--- a/src/forward/endpoints/endpoint_health.cpp
+++ b/src/forward/endpoints/endpoint_health.cpp
@@ -40,11 +40,13 @@
     }
 }
 
-bool endpoint_health::record_down(const std::string& incarnation, time_point now)
+bool endpoint_health::record_down(const down_endpoint& observed)
 {
-    const bool is_new = !this->is_avoided(incarnation, now);
-    this->record_outcome(incarnation, call_outcome::unreachable, now);
-    this->records[incarnation].observed_down_at = now;
+    const bool is_new = !this->is_avoided(observed.incarnation, observed.observed_at);
+    this->record_outcome(observed.incarnation, call_outcome::unreachable, observed.observed_at);
+    endpoint_record& state = this->records[observed.incarnation];
+    state.observed_down_at = observed.observed_at;
+    state.has_refused = observed.has_refused;
     return is_new;
 }
 
@@ -62,7 +64,7 @@
     std::vector<down_endpoint> down_endpoints;
     for (const auto& [incarnation, state] : this->records) {
         if (state.observed_down_at + down_report_lifetime > now && state.observed_down_at >= since)
-            down_endpoints.push_back({incarnation, state.observed_down_at});
+            down_endpoints.push_back({incarnation, state.observed_down_at, state.has_refused});
     }
     return down_endpoints;
 }
--- a/src/forward/endpoints/endpoint_health.h
+++ b/src/forward/endpoints/endpoint_health.h
@@ -18,6 +18,8 @@
 {
     std::string incarnation;
     time_point observed_at;
+    /// It refused a connection.
+    bool has_refused = false;
 
     bool operator==(const down_endpoint&) const = default;
 };
@@ -46,7 +48,7 @@
     void record_outcome(const std::string& incarnation, call_outcome outcome, time_point now);
 
     /// Records that this host observed the endpoint to be down. Returns true if it was not avoided already.
-    bool record_down(const std::string& incarnation, time_point now);
+    bool record_down(const down_endpoint& observed);
 
     /// Applies another host's report that an endpoint is down. Returns true if it was not avoided already.
     bool apply_peer_down_report(const down_endpoint& report, time_point now);
@@ -74,6 +76,7 @@
         time_point failure_ratio_at;
         time_point last_used;
         time_point observed_down_at;
+        bool has_refused = false;
     };
 
     std::map<std::string, endpoint_record> records;
--- a/src/forward/fleet/load_report_exchange.cpp
+++ b/src/forward/fleet/load_report_exchange.cpp
@@ -132,8 +132,8 @@
         row.__set_refuted(true);
     if (record.ran_for)
         row.__set_ran_us(record.ran_for->count());
-    if (record.is_replaced)
-        row.__set_replaced(true);
+    if (record.has_ended)
+        row.__set_ended(true);
     if (record.answered_for)
         row.__set_answered_us(record.answered_for->count());
     return row;
@@ -151,7 +151,7 @@
     for (const wire::CrashedRequest& row : rows | std::views::take(crash_suspects::max_reported_records)) {
         const auto age = milliseconds{std::max(row.age_ms, 0)} + std::chrono::microseconds{std::max(row.age_us, 0)};
         records.push_back({row.endpoint, row.parts, now - age, host, cleared_parts(row), row.refuted});
-        records.back().is_replaced = row.replaced;
+        records.back().has_ended = row.ended;
         if (row.__isset.ran_us)
             records.back().ran_for = to_run_time(row.ran_us);
         if (row.__isset.answered_us)
@@ -361,6 +361,8 @@
         wire::DownEndpoint row;
         row.endpoint = down.incarnation;
         row.age_ms = static_cast<std::int32_t>(to_ms(now - down.observed_at));
+        if (down.has_refused)
+            row.__set_refused(true);
         report.down.push_back(std::move(row));
     }
     this->add_crash_records(report, now);
@@ -573,11 +575,12 @@
             {head.service_name, {head.priority, to_lateness(head.lateness), now - milliseconds{head.age_ms}}});
     for (const wire::DownEndpoint& row : report->down) {
         const milliseconds age{std::max(row.age_ms, 0)};
-        if (this->health.apply_peer_down_report({row.endpoint, now - age}, now))
+        const down_endpoint down{row.endpoint, now - age, row.refused};
+        if (this->health.apply_peer_down_report(down, now))
             log_state("endpoint_down",
                       {{"endpoint", row.endpoint}, {"seen_by", report->host}, {"age_ms", std::to_string(age.count())}});
         if (this->hooks.on_peer_endpoint_down)
-            this->hooks.on_peer_endpoint_down(row.endpoint);
+            this->hooks.on_peer_endpoint_down(down);
     }
     this->apply_crash_records(*report, now);
     this->apply_account_spending(*report, now);
--- a/src/forward/fleet/load_report_exchange.h
+++ b/src/forward/fleet/load_report_exchange.h
@@ -38,7 +38,7 @@
     /// Called with the newest revisions that another host has seen.
     std::function<void(const revisions_by_prefix&)> on_peer_revisions;
     /// Called when another host has seen an endpoint down. May be empty, as may the next eleven.
-    std::function<void(const std::string& incarnation)> on_peer_endpoint_down;
+    std::function<void(const down_endpoint&)> on_peer_endpoint_down;
     /// Return this host's crash records and started parts that are of interest since a time.
     std::function<std::vector<crash_record>(time_point since)> list_crash_records;
     std::function<std::vector<part_start>(time_point since)> list_part_starts;
--- a/src/forward/gateway/forward_context.cpp
+++ b/src/forward/gateway/forward_context.cpp
@@ -131,7 +131,7 @@
 void forward_context::record_call_failure(const std::string& incarnation, error_kind kind)
 {
     if (kind == error_kind::connection_refused) {
-        this->mark_down(incarnation);
+        this->mark_down(incarnation, true);
         return;
     }
     const call_outcome outcome = may_have_arrived(kind) ? call_outcome::lost : call_outcome::unreachable;
@@ -189,10 +189,14 @@
            arrived_at + timeout > *this->stop_deadline;
 }
 
-void forward_context::mark_down(const std::string& incarnation)
+void forward_context::mark_down(const std::string& incarnation, bool has_refused)
 {
-    this->suspects.record_endpoint_down(incarnation, runtime_clock::now());
-    if (this->health.record_down(incarnation, runtime_clock::now()))
+    const time_point now = runtime_clock::now();
+    if (has_refused)
+        this->suspects.record_endpoint_refused(incarnation, now, now);
+    else
+        this->suspects.record_endpoint_down(incarnation, now);
+    if (this->health.record_down({incarnation, now, has_refused}))
         log_state("endpoint_down", {{"endpoint", incarnation}, {"seen_by", "this host"}});
     this->notify_load_change(true);
 }
--- a/src/forward/gateway/forward_context.h
+++ b/src/forward/gateway/forward_context.h
@@ -89,8 +89,9 @@
     /// host, and it might not be answered by the time at which requests end.
     bool is_too_late_for_stop(time_point arrived_at, milliseconds timeout) const;
 
-    /// Marks an endpoint as down and schedules an urgent report to the other hosts.
-    void mark_down(const std::string& incarnation);
+    /// Marks an endpoint as down, since it refused a connection or another incarnation answered at its address, and
+    /// schedules an urgent report to the other hosts.
+    void mark_down(const std::string& incarnation, bool has_refused = false);
 
     /// Records what an endpoint says of itself in its answer to a call; `request_id` is empty for calls without an id.
     void record_notice(const endpoint& source, call_kind call, const std::string& request_id,
--- a/src/forward/gateway/gateway.cpp
+++ b/src/forward/gateway/gateway.cpp
@@ -167,8 +167,11 @@
                 watched->record_peer_revision(found->second, runtime_clock::now());
         }
     };
-    hooks.on_peer_endpoint_down = [this](const std::string& incarnation) {
-        this->context.suspects.record_endpoint_down(incarnation, runtime_clock::now());
+    hooks.on_peer_endpoint_down = [this](const down_endpoint& down) {
+        if (down.has_refused)
+            this->context.suspects.record_endpoint_refused(down.incarnation, down.observed_at, runtime_clock::now());
+        else
+            this->context.suspects.record_endpoint_down(down.incarnation, runtime_clock::now());
     };
     hooks.list_crash_records = [this](time_point since) { return this->context.suspects.own_records(since); };
     hooks.list_part_starts = [this](time_point since) { return this->context.suspects.own_starts(since); };
--- a/src/forward/suspects/crash_suspects.cpp
+++ b/src/forward/suspects/crash_suspects.cpp
@@ -34,9 +34,8 @@
     if (!record.ran_for)
         record.ran_for = copy.ran_for;
     record.is_refuted = record.is_refuted || copy.is_refuted;
-    record.is_replaced = record.is_replaced || copy.is_replaced;
-    return record.cleared == copy.cleared && record.is_refuted == copy.is_refuted &&
-           record.is_replaced == copy.is_replaced;
+    record.has_ended = record.has_ended || copy.has_ended;
+    return record.cleared == copy.cleared && record.is_refuted == copy.is_refuted && record.has_ended == copy.has_ended;
 }
 
 /// Returns whether two crashes, `earlier` first, may be one failure of several endpoints. A request that was sent to
@@ -207,15 +206,15 @@
 void crash_suspects::record_endpoint_replaced(const std::string& incarnation, time_point now)
 {
     this->replaced_at.insert_or_assign(incarnation, now);
-    std::vector<std::vector<std::string>> restored;
-    for (stored_record& stored : this->records) {
-        const bool was_counted = stored.record.holds();
-        this->mark_replaced(stored.record);
-        if (!was_counted && stored.record.holds())
-            restored.push_back(stored.record.parts);
-    }
-    for (const std::vector<std::string>& parts : restored)
-        this->announce_quarantines(parts, now);
+    this->mark_ended_records(now);
+    this->record_endpoint_down(incarnation, now);
+}
+
+void crash_suspects::record_endpoint_refused(const std::string& incarnation, time_point refused_at, time_point now)
+{
+    const auto known = this->refused_at.try_emplace(incarnation, refused_at).first;
+    known->second = std::max(known->second, refused_at);
+    this->mark_ended_records(now);
     this->record_endpoint_down(incarnation, now);
 }
 
@@ -274,7 +273,7 @@
         const auto alive = this->alive_at.find(record.incarnation);
         if (alive != this->alive_at.end() && record.crashed_at + refutation_time < alive->second)
             record.is_refuted = true;
-        this->mark_replaced(record);
+        this->mark_ended(record);
         this->recall_starts(record.parts, now);
         for (const std::string& part : record.parts) {
             const auto start = this->starts.find(part);
@@ -442,6 +441,7 @@
     });
     std::erase_if(this->down_at, [now](const auto& entry) { return entry.second + confirmation_time < now; });
     std::erase_if(this->replaced_at, [now](const auto& entry) { return entry.second + start_lifetime < now; });
+    std::erase_if(this->refused_at, [now](const auto& entry) { return entry.second + confirmation_time < now; });
     std::erase_if(this->alive_at, [now](const auto& entry) { return entry.second + start_lifetime < now; });
     std::erase_if(this->announced, [this, now](const auto& entry) {
         const auto verdict = this->judge(entry.first, false);
@@ -472,18 +472,36 @@
         this->is_index_current = false;
 }
 
-/// Marks the record of an endpoint that was replaced soon after the crash; one that is replaced later was restarted for
-/// another reason.
-void crash_suspects::mark_replaced(crash_record& record) const
+/// Marks the record of an endpoint that ended soon after the crash; one that ends later was restarted for another
+/// reason. A refused connection long before the loss shows the end of an earlier process under the same registration.
+void crash_suspects::mark_ended(crash_record& record) const
 {
     const auto replaced = this->replaced_at.find(record.incarnation);
     if (replaced != this->replaced_at.end() && replaced->second < record.crashed_at + confirmation_time)
-        record.is_replaced = true;
+        record.has_ended = true;
+    const auto refused = this->refused_at.find(record.incarnation);
+    if (refused != this->refused_at.end() && refused->second < record.crashed_at + confirmation_time &&
+        record.crashed_at <= refused->second + late_loss_margin)
+        record.has_ended = true;
+}
+
+/// Marks the records whose endpoints have ended by what is known now, and announces what counts again.
+void crash_suspects::mark_ended_records(time_point now)
+{
+    std::vector<std::vector<std::string>> restored;
+    for (stored_record& stored : this->records) {
+        const bool was_counted = stored.record.holds();
+        this->mark_ended(stored.record);
+        if (!was_counted && stored.record.holds())
+            restored.push_back(stored.record.parts);
+    }
+    for (const std::vector<std::string>& parts : restored)
+        this->announce_quarantines(parts, now);
 }
 
 void crash_suspects::store(stored_record added)
 {
-    this->mark_replaced(added.record);
+    this->mark_ended(added.record);
     this->clear_started_parts(added.record);
     if (stored_record* known = this->find_record(added.record)) {
         merge_copy(known->record, added.record);
--- a/src/forward/suspects/crash_suspects.h
+++ b/src/forward/suspects/crash_suspects.h
@@ -31,16 +31,16 @@
     bool is_refuted = false;
     /// How long the endpoint had had the request. Hosts of earlier versions don't report it.
     std::optional<std::chrono::microseconds> ran_for = std::nullopt;
-    /// A new incarnation has replaced the endpoint soon after the crash. Goes before a refutation: the answers may have
-    /// been those of the new one, whose registration came later.
-    bool is_replaced = false;
+    /// The endpoint has certainly ended: it refused a connection, or a new incarnation replaced it, soon after the
+    /// crash. Goes before a refutation: the answers may have been those of the new one, whose registration came later.
+    bool has_ended = false;
     /// Time from the first event of the answer to the crash; nothing if there was none.
     std::optional<std::chrono::microseconds> answered_for = std::nullopt;
 
     bool operator==(const crash_record&) const = default;
 
     /// Returns whether the record counts.
-    bool holds() const { return !this->is_refuted || this->is_replaced; }
+    bool holds() const { return !this->is_refuted || this->has_ended; }
 };
 
 /// When an answer to a request with this part last started.
@@ -103,6 +103,8 @@
     /// How long a lost request waits for evidence that its endpoint crashed, rather than one connection: an endpoint
     /// that crashes loses its registration after several missed heartbeats.
     static constexpr milliseconds confirmation_time{10'000};
+    /// How much later than a refused connection the losses of the same end may be noticed.
+    static constexpr milliseconds late_loss_margin{1'000};
     /// How long endpoints need to answer other calls before that refutes a crash.
     static constexpr milliseconds refutation_time{1'000};
     /// Length of a quarantine from the last crash. Doubles with each further crash up to the maximum.
@@ -156,9 +158,13 @@
                              std::optional<std::chrono::microseconds> ran_for = std::nullopt,
                              std::optional<std::chrono::microseconds> answered_for = std::nullopt);
 
-    /// Records evidence that an endpoint is down: it refuses connections, or its registration vanished.
+    /// Records evidence that an endpoint is down, such as a registration that vanished. Answers refute it.
     void record_endpoint_down(const std::string& incarnation, time_point now);
 
+    /// Records that an endpoint refused a connection at `refused_at`: the process that had lost requests before that
+    /// has ended. Later answers are those of a new incarnation, even under the old registration.
+    void record_endpoint_refused(const std::string& incarnation, time_point refused_at, time_point now);
+
     /// Records that a new incarnation has registered in place of this one, which had not been leaving.
     void record_endpoint_replaced(const std::string& incarnation, time_point now);
 
@@ -256,7 +262,8 @@
     class asked_parts;
 
     const std::unordered_map<std::string, std::vector<part_place>>& places() const;
-    void mark_replaced(crash_record& record) const;
+    void mark_ended(crash_record& record) const;
+    void mark_ended_records(time_point now);
     void refute(crash_record& record) const;
     void forget_unconfirmed(time_point now);
     void store(stored_record added);
@@ -289,8 +296,9 @@
     recent_starts answered_requests;
     /// When endpoints were last seen down, and when they last started an answer, by incarnation.
     std::map<std::string, time_point> down_at;
-    /// When incarnations were replaced by new ones.
+    /// When incarnations were replaced by new ones, and when they last refused a connection.
     std::map<std::string, time_point> replaced_at;
+    std::map<std::string, time_point> refused_at;
     std::map<std::string, time_point> alive_at;
     /// Quarantines that were passed to on_quarantine and have not ended, by part.
     std::map<std::string, part_quarantine> announced;
--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -173,6 +173,8 @@
 struct DownEndpoint {
   1: string endpoint
   2: i32 age_ms
+  // It refused a connection; left out if another incarnation answered at its address.
+  3: optional bool refused
 }
 
 // The revision of the newest change that a host has seen under a prefix of the key-value service.
@@ -194,8 +196,8 @@
   // versions send neither.
   6: optional i64 ran_us
   7: optional i32 age_us
-  // A new incarnation has replaced the endpoint soon after the crash; goes before `refuted`.
-  8: optional bool replaced
+  // The endpoint refused a connection, or a new incarnation replaced it, soon after the crash; goes before `refuted`.
+  8: optional bool ended
   // The same as `cleared` for all parts, eight a byte. Left out where `cleared` says it all.
   9: optional binary all_cleared
   // Time from the first event of the answer to the crash, if there was one.
--- a/tests/forward/test_choices.cpp
+++ b/tests/forward/test_choices.cpp
@@ -148,8 +148,8 @@
     void peer_report_of_a_crashed_engine_makes_hosts_avoid_it()
     {
         endpoint_health first;
-        CPPUNIT_ASSERT(first.record_down("d0@0", this->now));
-        CPPUNIT_ASSERT(!first.record_down("d0@0", this->now));
+        CPPUNIT_ASSERT(first.record_down({"d0@0", this->now}));
+        CPPUNIT_ASSERT(!first.record_down({"d0@0", this->now}));
         const auto down_reports = first.observed_down(this->now + 20ms);
         CPPUNIT_ASSERT(down_reports == std::vector<down_endpoint>({{"d0@0", this->now}}));
         CPPUNIT_ASSERT(this->health.apply_peer_down_report(down_reports.front(), this->now + 20ms));
--- a/tests/forward/test_crash_evidence.cpp
+++ b/tests/forward/test_crash_evidence.cpp
@@ -17,6 +17,10 @@
 class test_crash_evidence : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(test_crash_evidence);
+    CPPUNIT_TEST(answers_after_a_refused_connection_refute_no_crash);
+    CPPUNIT_TEST(refused_connection_that_another_host_saw_counts_as_well);
+    CPPUNIT_TEST(refused_connection_restores_a_refuted_crash);
+    CPPUNIT_TEST(refused_connection_before_a_loss_does_not_make_it_certain);
     CPPUNIT_TEST(refutations_and_unconfirmed_losses_are_told);
     CPPUNIT_TEST_SUITE_END();
 
@@ -33,6 +37,59 @@
         this->suspects.record_answer_start(incarnation, {"x"}, this->now);
     }
 
+    bool is_refused(const parts& asked) const { return this->suspects.quarantined_until(asked, this->now).has_value(); }
+
+    // Failure: an engine that was back before its new registration answered under the old one, which refuted its crash;
+    // requests that crash engines were let through again after each such answer.
+    void answers_after_a_refused_connection_refute_no_crash()
+    {
+        for (const char* incarnation : {"a", "b"}) {
+            this->lose(incarnation, {"p"});
+            this->suspects.record_endpoint_refused(incarnation, this->now, this->now);
+            this->answer_two_seconds_later(incarnation);
+        }
+        CPPUNIT_ASSERT(this->is_refused({"p"}));
+    }
+
+    // Failure: as above, at hosts that learn of the crash and of the refused connection from another one.
+    void refused_connection_that_another_host_saw_counts_as_well()
+    {
+        crash_suspects other;
+        for (const char* incarnation : {"a", "b"}) {
+            this->lose(incarnation, {"p"});
+            this->suspects.record_endpoint_refused(incarnation, this->now, this->now);
+            other.apply_peer_records(this->suspects.own_records({}), this->now);
+            other.record_answer_start(incarnation, {"x"}, this->now + 2s);
+        }
+        CPPUNIT_ASSERT(other.quarantined_until({"p"}, this->now).has_value());
+    }
+
+    // Guards against the order of the news: the answer of the new process may be seen before the other host's report.
+    void refused_connection_restores_a_refuted_crash()
+    {
+        for (const char* incarnation : {"a", "b"}) {
+            this->lose(incarnation, {"p"});
+            const time_point refused_at = this->now;
+            this->suspects.record_endpoint_down(incarnation, this->now);
+            this->answer_two_seconds_later(incarnation);
+            CPPUNIT_ASSERT(!this->is_refused({"p"}));
+            this->suspects.record_endpoint_refused(incarnation, refused_at, this->now);
+        }
+        CPPUNIT_ASSERT(this->is_refused({"p"}));
+    }
+
+    // Guards against refused sound callers: the process that refused was back when it broke the connection.
+    void refused_connection_before_a_loss_does_not_make_it_certain()
+    {
+        for (const char* incarnation : {"a", "b"}) {
+            this->suspects.record_endpoint_refused(incarnation, this->now, this->now);
+            this->now += crash_suspects::late_loss_margin;
+            this->lose(incarnation, {"p"});
+            this->answer_two_seconds_later(incarnation);
+        }
+        CPPUNIT_ASSERT(!this->is_refused({"p"}));
+    }
+
     // Guards against evidence that is dropped without a trace.
     void refutations_and_unconfirmed_losses_are_told()
     {
--- a/tests/platform/raw_server.cpp
+++ b/tests/platform/raw_server.cpp
@@ -51,7 +51,9 @@
 }
 
 raw_server::raw_server(const asio::any_io_executor& executor, const std::string& address, raw_handler handler)
-    : listener(std::move(*http::listen(executor, address))), handler(std::move(handler))
+    : listener(std::move(*http::listen(executor, address))),
+      listening_address("127.0.0.1:" + std::to_string(this->listener.local_endpoint().port())),
+      handler(std::move(handler))
 {
     asio::co_spawn(
         executor, [this] { return this->accept(); }, asio::detached);
@@ -59,7 +61,14 @@
 
 std::string raw_server::address() const
 {
-    return "127.0.0.1:" + std::to_string(this->listener.local_endpoint().port());
+    return this->listening_address;
+}
+
+void raw_server::start_again()
+{
+    this->listener = std::move(*http::listen(this->listener.get_executor(), this->listening_address));
+    asio::co_spawn(
+        this->listener.get_executor(), [this] { return this->accept(); }, asio::detached);
 }
 
 void raw_server::stop()
--- a/tests/platform/raw_server.h
+++ b/tests/platform/raw_server.h
@@ -51,6 +51,9 @@
     /// Stops accepting connections.
     void stop();
 
+    /// Accepts connections at the same address again after stop().
+    void start_again();
+
     /// Resets all connections; called on the executor.
     void reset_connections();
 
@@ -59,6 +62,7 @@
     static boost::asio::awaitable<void> serve(std::shared_ptr<raw_connection> caller, raw_handler handler);
 
     boost::asio::ip::tcp::acceptor listener;
+    std::string listening_address;
     raw_handler handler;
     std::vector<std::weak_ptr<raw_connection>> connections;
 };
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
@@ -130,6 +132,23 @@
     this->is_crashed = true;
     this->server.stop();
     this->server.reset_connections();
+    const std::scoped_lock lock{this->mutex};
+    if (this->away_time)
+        asio::co_spawn(this->server.executor(), this->come_back_after(*this->away_time), asio::detached);
+}
+
+asio::awaitable<void> standin_engine::come_back_after(milliseconds time)
+{
+    co_await pause_for(time);
+    this->restart();
+    this->server.start_again();
+    this->is_crashed = false;
+}
+
+void standin_engine::set_away_time(milliseconds time)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->away_time = time;
 }
 
 void standin_engine::set_script(answer_script new_script)
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -119,6 +119,8 @@
     void set_deadly_part(const std::string& part);
     /// Makes the engine crash as it begins to run such a request.
     void set_deadly_request(std::function<bool(const http::request&)> is_deadly);
+    /// Lets each crash end after this time: a new process then has the engine's address and id, and registers never.
+    void set_away_time(milliseconds time);
     /// Resets all connections and refuses new ones from now on.
     void crash();
     bool has_crashed() const { return this->is_crashed; }
@@ -173,6 +175,7 @@
     bool is_deadly(const http::request& request) const;
     bool crashes_on(const http::request& request) const;
     void crash_now();
+    boost::asio::awaitable<void> come_back_after(milliseconds time);
     answer_script current_script() const;
     std::optional<std::string> current_pause() const;
 
@@ -186,6 +189,7 @@
     milliseconds work_time{5};
     std::string deadly_part;
     std::function<bool(const http::request&)> deadly_request;
+    std::optional<milliseconds> away_time;
     std::atomic<bool> is_crashed = false;
     bool is_leaving = false;
     std::optional<std::string> pause;
--- /dev/null
+++ b/tests/platform/test_late_registrations.cpp
@@ -0,0 +1,116 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "platform_site.h"
+
+namespace {
+
+using namespace radishstep;
+using namespace radishstep::testing;
+using namespace std::chrono_literals;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+
+/// Engines that crash on a part of a prompt and are back under their id and address before their new registration.
+class test_late_registrations : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_late_registrations);
+    CPPUNIT_TEST(crashes_count_though_the_next_process_answers_before_it_registers);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static constexpr int engine_count = 4;
+    static constexpr std::size_t crashes_to_quarantine = 2;
+    static constexpr int max_crashes = 10;
+
+    void start(milliseconds away_time)
+    {
+        this->site = std::make_unique<platform_site>(0, 0, engine_count);
+        this->site->start_gateway();
+        CPPUNIT_ASSERT(this->site->wait_until_ready());
+        for (const auto& [id, engine] : this->site->engines) {
+            engine->set_away_time(away_time);
+            engine->set_deadly_request([](const http::request& request) {
+                return http::find_header(request.lines, "Prefix-Hash").find("dead") != std::string_view::npos;
+            });
+        }
+    }
+
+    void tearDown() override { this->site.reset(); }
+
+    unsigned send(const std::string& shared_parts)
+    {
+        const std::string number = std::to_string(++this->sent);
+        site_request request;
+        request.path = "/stream/1";
+        request.id = "attempt-" + number;
+        request.extra_headers = {
+            {"Model", "m"}, {"Token-Count", "800,100"}, {"Prefix-Hash", shared_parts + ":600,own" + number + ":200"}};
+        return this->site->call(request).status;
+    }
+
+    /// Returns the engine that the next request with the deadly part ends, or nullptr if none gets it.
+    standin_engine* crash_next()
+    {
+        const unsigned status = this->send("first:10,dead");
+        CPPUNIT_ASSERT(status != status_ok);
+        for (const auto& [id, engine] : this->site->engines) {
+            const auto calls = engine->calls();
+            if (!calls.empty() && calls.back().id == "attempt-" + std::to_string(this->sent))
+                return engine.get();
+        }
+        return nullptr;
+    }
+
+    /// Sends sound requests until `engine` has answered one.
+    void send_sound_until_answered_by(const standin_engine& engine)
+    {
+        const int runs_before = engine.runs();
+        CPPUNIT_ASSERT(wait_until(
+            [&] {
+                this->send("first:10,sound");
+                return engine.runs() > runs_before;
+            },
+            10s));
+    }
+
+    bool has_logged(const std::string& text) { return this->site->log().find(text) != std::string::npos; }
+
+    // Failure: the answer of the process that followed refuted the crash, although the engine had refused connections,
+    // so that requests with the part went on to crash engines.
+    void crashes_count_though_the_next_process_answers_before_it_registers()
+    {
+        this->start(1'500ms);
+        // An engine that crashes twice under the same registration counts once.
+        std::set<standin_engine*> crashed_engines;
+        for (int i = 0; i < max_crashes && crashed_engines.size() < crashes_to_quarantine; ++i) {
+            standin_engine* crashed = this->crash_next();
+            CPPUNIT_ASSERT(crashed != nullptr);
+            crashed_engines.insert(crashed);
+            // Long enough for a refused connection while the engine is away.
+            CPPUNIT_ASSERT(wait_until(
+                [&] {
+                    this->send("first:10,sound");
+                    return !crashed->has_crashed();
+                },
+                5s));
+            this->send_sound_until_answered_by(*crashed);
+        }
+        CPPUNIT_ASSERT(this->has_logged("endpoint_down"));
+        CPPUNIT_ASSERT(this->crash_next() == nullptr);
+        CPPUNIT_ASSERT_EQUAL(status_unavailable, this->send("first:10,dead"));
+        CPPUNIT_ASSERT_EQUAL(status_ok, this->send("first:10,sound"));
+    }
+
+private:
+    std::unique_ptr<platform_site> site;
+    int sent = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_late_registrations);
+
+} // namespace
