Ask an endpoint at once whether it has ended when it breaks off a request

Cause: evidence of a crash came by chance, from another call that met a refused connection, or from the store, after the 10 s for which a lost request waits.

Change: endpoint_checker opens a connection to the endpoint right after a loss and holds it for 300 ms without sending anything. Refused: down, and told to all hosts. Ended by the endpoint: opened again, up to three times. Open: shows nothing, so that a running engine's reset still refuses no prompt. It costs one connection for each endpoint and loss at a time.

Still broken in trials: engines silent for 5 s that are back at once, and engines that run on.

--- a/src/forward/gateway/forward_context.cpp
+++ b/src/forward/gateway/forward_context.cpp
@@ -104,8 +104,9 @@
                                  std::string zone)
     : executor(executor), dialect(dialect), http_client(executor),
       chooser(this->directory, this->load, this->health, this->notices, this->model, std::move(zone)),
-      random(std::random_device{}())
+      checker(executor), random(std::random_device{}())
 {
+    this->checker.on_refused = [this](const std::string& incarnation) { this->mark_down(incarnation, true); };
     this->suspects.on_record = report_record;
     this->suspects.on_refutation = report_refutation;
     this->suspects.on_unconfirmed = report_unconfirmed;
@@ -153,6 +154,7 @@
     if (first_event_at)
         answered_for = since(*first_event_at);
     this->suspects.record_lost_request(target.incarnation(), traits, now, since(sent_at), answered_for);
+    this->checker.check(target);
 }
 
 void forward_context::report_suspect_send(const std::string& request_id, const endpoint& target,
--- a/src/forward/gateway/forward_context.h
+++ b/src/forward/gateway/forward_context.h
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "accounts/account_ledger.h"
+#include "forward/endpoints/endpoint_checker.h"
 #include "forward/endpoints/endpoint_chooser.h"
 #include "forward/endpoints/endpoint_directory.h"
 #include "forward/endpoints/endpoint_health.h"
@@ -39,6 +40,8 @@
     /// How long endpoints take for their work.
     engine_model model;
     endpoint_chooser chooser;
+    /// Asks endpoints that have broken off requests whether they have ended.
+    endpoint_checker checker;
     retry_budget budget;
     /// Requests on which endpoints crash.
     crash_suspects suspects;
@@ -70,7 +73,7 @@
     void record_call_failure(const std::string& incarnation, error_kind kind);
 
     /// Records in the suspects that a request's connection to an endpoint broke before its answer, of a stream before
-    /// it had shown its request to be sound, unless the endpoint was leaving as planned.
+    /// it had shown its request to be sound, unless the endpoint was leaving as planned. Then checks the endpoint.
     void record_lost_request(const endpoint& target, const std::vector<std::string>& traits, time_point sent_at,
                              std::optional<time_point> first_event_at = std::nullopt);
 
--- a/tests/platform/test_late_registrations.cpp
+++ b/tests/platform/test_late_registrations.cpp
@@ -20,6 +20,7 @@
 {
     CPPUNIT_TEST_SUITE(test_late_registrations);
     CPPUNIT_TEST(crashes_count_though_the_next_process_answers_before_it_registers);
+    CPPUNIT_TEST(crash_counts_though_no_request_meets_the_engine_while_it_is_away);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,6 +107,21 @@
         CPPUNIT_ASSERT_EQUAL(status_ok, this->send("first:10,sound"));
     }
 
+    // Failure: an engine that was back within 50 ms had refused nobody, so that its crash never counted.
+    void crash_counts_though_no_request_meets_the_engine_while_it_is_away()
+    {
+        this->start(50ms);
+        std::set<standin_engine*> crashed_engines;
+        for (int i = 0; i < max_crashes && crashed_engines.size() < crashes_to_quarantine; ++i) {
+            standin_engine* crashed = this->crash_next();
+            CPPUNIT_ASSERT(crashed != nullptr);
+            crashed_engines.insert(crashed);
+            std::this_thread::sleep_for(1s);
+        }
+        CPPUNIT_ASSERT(this->crash_next() == nullptr);
+        CPPUNIT_ASSERT_EQUAL(status_ok, this->send("first:10,sound"));
+    }
+
 private:
     std::unique_ptr<platform_site> site;
     int sent = 0;
