Do not count a stream that its caller left as lost by its engine

What callers saw: 503 (quarantined) for a sound prompt after three streams with one of its parts had been left by their callers and their engines were taken away within 10 s.

Cause: this host closes the engine's connection for a caller that has left; the failure of that call was recorded as the engine's loss. Found by reading all that records losses. Plain calls were sound.

Change: such a call is no loss.

--- a/src/forward/serving/model_forwarder.cpp
+++ b/src/forward/serving/model_forwarder.cpp
@@ -682,7 +682,9 @@
                                    {"left_ms", std::to_string(this->active.canceller.time_left().count())},
                                    {"prompt_parts", join_first(this->active.request.prompt_parts)},
                                    {"cause", describe(reason)}});
-    const bool is_lost = reason.kind == error_kind::connection_lost && !this->active.canceller.has_expired();
+    // A call that this host ended itself, for its caller or at the deadline, says nothing of its engine.
+    const bool is_lost = reason.kind == error_kind::connection_lost && !this->active.canceller.has_expired() &&
+                         !this->active.canceller.is_caller_disconnected();
     if (is_lost && !call.is_shown_sound) {
         this->context.record_lost_request(call.target, this->active.request.traits, call.sent_at, call.first_event_at);
         this->trial.end(true);
