Bound the header lines of responses, which took over ten times their bytes

What callers saw (operators' report): a faulty engine's endless bytes fill the host's memory and take other callers' requests along.

Cause: a head is bounded at 16 KiB, but its lines are parsed as they come and take over ten times their bytes then.

Change: 128 header lines at most, counted before they are parsed, for whole answers and streams; too long heads are protocol errors. Only header lines broke the bound. The gateway makes no health calls.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -34,6 +34,9 @@
 /// Longest response head, and longest part of a response that must be complete to be parsed, such as a chunk header.
 constexpr std::size_t max_head_bytes = 16UL * 1024;
 constexpr std::size_t read_buffer_bytes = 64UL * 1024;
+/// Most header lines of a response. Parsed, a short line takes over ten times its bytes.
+constexpr std::size_t max_head_lines = 128;
+constexpr std::size_t head_read_bytes = 4UL * 1024;
 /// Applies to endpoints that announce no timeout in a Keep-Alive header.
 constexpr std::chrono::seconds default_keep_alive_timeout{30};
 
@@ -50,10 +53,75 @@
 
 using connection_ptr = std::shared_ptr<connection>;
 
+/// Counts the lines of a head as it arrives.
+class head_line_counter
+{
+public:
+    /// Counts the lines in the next bytes of the response, up to the end of its head.
+    void push(std::string_view bytes)
+    {
+        for (const char next : bytes) {
+            if (this->has_ended)
+                return;
+            if (next == '\n') {
+                ++this->lines;
+                this->has_ended = std::exchange(this->line_bytes, 0) == 0;
+            } else if (next != '\r') {
+                ++this->line_bytes;
+            }
+        }
+    }
+
+    std::size_t count() const { return this->lines; }
+
+private:
+    std::size_t lines = 0;
+    std::size_t line_bytes = 0;
+    bool has_ended = false;
+};
+
+/// Reads and parses the head of a response; can be called again after a read that was cancelled. The lines are counted
+/// before they are parsed, since they take much memory.
+template <typename Parser>
+asio::awaitable<error_code> read_limited_head(connection& conn, Parser& parser, head_line_counter& lines)
+{
+    parser.eager(false);
+    error_code failure;
+    while (true) {
+        if (conn.buffer.size() > 0)
+            conn.buffer.consume(parser.put(conn.buffer.data(), failure));
+        if (failure && failure != beast::http::error::need_more)
+            co_return failure;
+        if (parser.is_header_done())
+            co_return error_code{};
+        failure = {};
+        const auto room = conn.buffer.prepare(head_read_bytes);
+        const std::size_t size =
+            co_await conn.stream.async_read_some(room, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            co_return failure;
+        lines.push({static_cast<const char*>(room.data()), size});
+        conn.buffer.commit(size);
+        if (lines.count() > max_head_lines)
+            co_return beast::http::error::header_limit;
+    }
+}
+
+bool is_too_long(const error_code& failure)
+{
+    return failure == beast::http::error::header_limit || failure == beast::http::error::body_limit ||
+           failure == beast::http::error::buffer_overflow;
+}
+
 tl::unexpected<error> to_call_error(const error_code& failure)
 {
     if (failure == beast::error::timeout)
         return fail(error_kind::timed_out, "the endpoint did not respond in time", "see the endpoint's own log");
+    if (is_too_long(failure)) {
+        count("radishstep_http_responses_too_long_total");
+        return fail(error_kind::protocol, "the response is too long: " + failure.message(),
+                    "see the endpoint's own log");
+    }
     return fail(error_kind::connection_lost, failure.message(), "see the endpoint's own log");
 }
 
@@ -334,9 +402,7 @@
     asio::awaitable<result<void>> read_head() override
     {
         const read_timer timer{this->conn, this->read_timeout};
-        error_code failure;
-        co_await beast::http::async_read_header(this->conn->stream, this->conn->buffer, this->parser,
-                                                asio::redirect_error(asio::use_awaitable, failure));
+        const error_code failure = co_await read_limited_head(*this->conn, this->parser, this->head_lines);
         if (failure)
             co_return to_call_error(timer.cause_of(failure));
         this->response_head = to_response(this->parser.get());
@@ -378,6 +444,7 @@
     std::string address;
     milliseconds read_timeout;
     beast::http::response_parser<beast::http::buffer_body> parser;
+    head_line_counter head_lines;
     response response_head;
     std::array<char, stream_read_bytes> read_buffer;
     bool is_released = false;
@@ -432,18 +499,17 @@
                                                 const call_options& options)
 {
     response_size size{pool};
-    response head;
-    bool has_head = false;
+    head_line_counter head_lines;
+    const error_code head_failure = co_await read_limited_head(conn, parser, head_lines);
+    if (head_failure)
+        co_return to_call_error(head_failure);
+    const response head = to_response(parser.get());
+    if (options.on_head)
+        options.on_head(head);
     while (!parser.is_done()) {
         error_code failure;
         const std::size_t received = co_await beast::http::async_read_some(
             conn.stream, conn.buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
-        if (!has_head && parser.is_header_done()) {
-            has_head = true;
-            head = to_response(parser.get());
-            if (options.on_head)
-                options.on_head(head);
-        }
         const bool is_too_long = failure == beast::http::error::body_limit;
         if (failure && !is_too_long)
             co_return to_call_error(failure);
--- a/tests/platform/platform_site.h
+++ b/tests/platform/platform_site.h
@@ -69,6 +69,9 @@
     /// Returns the address on which a host's gateway accepts callers, as "IP:port".
     std::string callers_address(std::size_t host = 0) const { return this->hosts[host].callers.text(); }
 
+    /// Returns the address at which a host receives the reports of others, as "IP:port".
+    std::string peer_address(std::size_t host = 0) const { return this->hosts[host].peers.text(); }
+
     /// Waits until the gateway reports that it is ready; returns whether it did within `timeout`.
     bool wait_until_ready(milliseconds timeout = milliseconds{5'000}, std::size_t host = 0);
 
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -131,7 +131,8 @@
 {
     this->is_crashed = true;
     this->server.stop();
-    this->server.reset_connections();
+    if (!this->has_half_open_crashes)
+        this->server.reset_connections();
     const std::scoped_lock lock{this->mutex};
     if (this->away_time)
         asio::co_spawn(this->server.executor(), this->come_back_after(*this->away_time), asio::detached);
@@ -145,6 +146,11 @@
     this->is_crashed = false;
 }
 
+void standin_engine::set_half_open_crashes()
+{
+    this->has_half_open_crashes = true;
+}
+
 void standin_engine::set_away_time(milliseconds time)
 {
     const std::scoped_lock lock{this->mutex};
@@ -157,6 +163,12 @@
     this->script = std::move(new_script);
 }
 
+void standin_engine::set_control_script(answer_script new_script)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->control_script = std::move(new_script);
+}
+
 void standin_engine::set_leaving(bool leaving)
 {
     const std::scoped_lock lock{this->mutex};
@@ -296,6 +308,8 @@
     if (!is_prefill && this->crashes_on(request)) {
         this->mark_run(call);
         this->crash_now();
+        while (this->has_half_open_crashes && !caller.is_closed_by_peer())
+            co_await pause_for(milliseconds{20});
         co_return false;
     }
     if (is_prefill)
@@ -307,6 +321,13 @@
 
 asio::awaitable<bool> standin_engine::send_control_response(std::size_t call, raw_connection& caller, unsigned status)
 {
+    answer_script script;
+    {
+        const std::scoped_lock lock{this->mutex};
+        script = this->control_script;
+    }
+    if (script)
+        co_return co_await this->send_scripted_answer(call, caller, std::move(script));
     http::headers lines;
     if (this->says_it_is_leaving())
         lines.push_back({"Server-Leaving", "1"});
@@ -360,6 +381,10 @@
         if (!co_await caller.write(part))
             co_return false;
     }
+    if (!answer.repeated.empty()) {
+        co_await send_without_end(caller, answer.repeated, answer.pause);
+        co_return false;
+    }
     if (answer.end == answer_end::reset) {
         // The reset must not overtake the bytes before it, which the peer would then never read.
         constexpr milliseconds delivery_time{20};
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -86,6 +86,8 @@
     bool has_run = true;
     /// Pause before each part but the first.
     milliseconds pause{0};
+    /// Sent after the parts again and again, with the pause, until the peer closes the connection; "" sends nothing.
+    std::string repeated = {};
 
     bool operator==(const scripted_answer&) const = default;
 };
@@ -119,6 +121,8 @@
     void set_deadly_part(const std::string& part);
     /// Makes the engine crash as it begins to run such a request.
     void set_deadly_request(std::function<bool(const http::request&)> is_deadly);
+    /// Lets crashes leave the open connections open, without another byte, in place of resetting them.
+    void set_half_open_crashes();
     /// Lets each crash end after this time: a new process then has the engine's address and id, and registers never.
     void set_away_time(milliseconds time);
     /// Resets all connections and refuses new ones from now on.
@@ -126,6 +130,8 @@
     bool has_crashed() const { return this->is_crashed; }
     /// Answers calls for the engine's service as the script says, in place of the usual answers and faults.
     void set_script(answer_script script);
+    /// Answers orders and releases as the script says.
+    void set_control_script(answer_script script);
     /// Makes all answers from now on say that the engine is leaving.
     void set_leaving(bool leaving);
 
@@ -186,10 +192,12 @@
     mutable std::mutex mutex;
     engine_fault fault = engine_fault::none;
     answer_script script;
+    answer_script control_script;
     milliseconds work_time{5};
     std::string deadly_part;
     std::function<bool(const http::request&)> deadly_request;
     std::optional<milliseconds> away_time;
+    std::atomic<bool> has_half_open_crashes = false;
     std::atomic<bool> is_crashed = false;
     bool is_leaving = false;
     std::optional<std::string> pause;
--- a/tests/platform/standin_store.cpp
+++ b/tests/platform/standin_store.cpp
@@ -32,6 +32,23 @@
     return result;
 }
 
+std::string endless_start(bool has_head)
+{
+    const http::headers lines{{"Content-Type", "application/json"}};
+    return has_head ? unframed_answer(200, lines, "") : "HTTP/1.1 200 OK\r\n";
+}
+
+std::string endless_part(bool has_head)
+{
+    constexpr std::size_t part_bytes = 16UL * 1024;
+    if (has_head)
+        return std::string(part_bytes, '[');
+    std::string lines;
+    while (lines.size() < part_bytes)
+        lines += "X-F: y\r\n";
+    return lines;
+}
+
 } // namespace
 
 standin_store::standin_store(const asio::any_io_executor& executor)
@@ -124,6 +141,19 @@
     this->history.push_back({key, entry, this->revision});
 }
 
+asio::awaitable<bool> standin_store::send_without_end(raw_connection& caller, bool has_head)
+{
+    std::string start = endless_start(has_head);
+    const std::string part = endless_part(has_head);
+    bool is_open = co_await caller.write(std::move(start));
+    while (is_open) {
+        std::string next = part;
+        is_open = co_await caller.write(std::move(next));
+        co_await pause_for(milliseconds{1});
+    }
+    co_return false;
+}
+
 asio::awaitable<bool> standin_store::handle_request(const http::request& request, raw_connection& caller)
 {
     store_fault active_fault = store_fault::none;
@@ -136,6 +166,8 @@
         caller.reset();
         co_return false;
     }
+    if (active_fault == store_fault::endless_heads || active_fault == store_fault::endless_bodies)
+        co_return co_await send_without_end(caller, active_fault == store_fault::endless_bodies);
     while (active_fault == store_fault::unresponsive) {
         co_await pause_for(milliseconds{20});
         if (caller.is_closed_by_peer())
--- a/tests/platform/standin_store.h
+++ b/tests/platform/standin_store.h
@@ -27,6 +27,10 @@
     lost_writes,
     /// Watches return no changes although keys change.
     silent_watches,
+    /// Answers have a head without end.
+    endless_heads,
+    /// Answers have a body without end.
+    endless_bodies,
 };
 
 /// Simulates the platform's store: keys, revisions, watches and leases. Runs on one executor; the public functions
@@ -78,6 +82,7 @@
     };
 
     boost::asio::awaitable<bool> handle_request(const http::request& request, raw_connection& caller);
+    static boost::asio::awaitable<bool> send_without_end(raw_connection& caller, bool has_head);
     boost::asio::awaitable<http::response> watch(const http::request& request);
     http::response range(const http::request& request) const;
     http::response transact(const http::request& request);
