Count silent calls as lost when their endpoint has ended

Cause: a call counts as lost when its connection breaks. A half-open one waits for its deadline, and calls that end there are left out. Streams that are left for another engine after a second of silence were no loss either.

Change: a call from which nothing has come for a second counts as lost once its endpoint is known to have ended or to be down since it was sent. A stream that is left in silence has its engine checked at once. The calls themselves go on as before.

Whether the users' failures had this cause isn't known; it is the one difference that gives their shape.

--- a/src/forward/endpoints/connection_breaks.cpp
+++ b/src/forward/endpoints/connection_breaks.cpp
@@ -1,31 +1,26 @@
 #include "forward/endpoints/connection_breaks.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace radishstep::forward {
 
-void connection_breaks::add(const std::string& incarnation, time_point sent_at)
+void connection_breaks::remove(open_call* call)
 {
-    this->open[incarnation].insert(sent_at);
-}
-
-void connection_breaks::remove(const std::string& incarnation, time_point sent_at)
-{
-    const auto calls = this->open.find(incarnation);
+    const auto calls = this->open.find(call->incarnation);
     if (calls == this->open.end())
         return;
-    if (const auto ended = calls->second.find(sent_at); ended != calls->second.end())
-        calls->second.erase(ended);
+    calls->second.erase(call);
     if (calls->second.empty())
         this->open.erase(calls);
 }
 
-void connection_breaks::record_break(const std::string& incarnation, time_point sent_at, time_point now)
+void connection_breaks::record_break(open_call* call, time_point now)
 {
-    this->remove(incarnation, sent_at);
+    this->remove(call);
     std::erase_if(this->broken, [now](const broken_call& each) { return each.broken_at + break_lifetime < now; });
-    this->broken.push_back({incarnation, sent_at, now});
+    this->broken.push_back({call->incarnation, call->sent_at, now});
 }
 
 bool connection_breaks::has_ended(const std::string& incarnation, time_point now) const
@@ -43,26 +38,46 @@
     const bool has_old_call = std::ranges::any_of(
         together, [](const broken_call& each) { return each.sent_at + min_call_age <= each.broken_at; });
     const auto calls = this->open.find(incarnation);
-    const bool has_survivor = calls != this->open.end() && *calls->second.begin() < together.front().broken_at;
+    const bool has_survivor =
+        calls != this->open.end() && std::ranges::any_of(calls->second, [&](const open_call* call) {
+            return call->sent_at < together.front().broken_at;
+        });
     return has_old_call && !has_survivor;
 }
 
+std::vector<open_call*> connection_breaks::silent_calls(time_point now) const
+{
+    std::vector<open_call*> silent;
+    for (const auto& [incarnation, calls] : this->open) {
+        std::ranges::copy_if(calls, std::back_inserter(silent), [now](const open_call* call) {
+            return !call->knows_process_end && call->last_heard_at + silence_time <= now;
+        });
+    }
+    return silent;
+}
+
 open_call::open_call(connection_breaks& breaks, std::string incarnation, time_point sent_at)
-    : breaks(breaks), incarnation(std::move(incarnation)), sent_at(sent_at)
+    : breaks(breaks), incarnation(std::move(incarnation)), sent_at(sent_at), last_heard_at(sent_at)
 {
-    this->breaks.add(this->incarnation, this->sent_at);
+    this->breaks.open[this->incarnation].insert(this);
 }
 
 open_call::~open_call()
 {
     if (!this->is_broken)
-        this->breaks.remove(this->incarnation, this->sent_at);
+        this->breaks.remove(this);
 }
 
 void open_call::break_off(time_point now)
 {
     if (!std::exchange(this->is_broken, true))
-        this->breaks.record_break(this->incarnation, this->sent_at, now);
+        this->breaks.record_break(this, now);
+}
+
+void open_call::tell_process_end(time_point ended_at)
+{
+    if (!std::exchange(this->knows_process_end, true) && this->on_process_end)
+        this->on_process_end(ended_at);
 }
 
 } // namespace radishstep::forward
--- a/src/forward/gateway/forward_context.cpp
+++ b/src/forward/gateway/forward_context.cpp
@@ -159,6 +159,35 @@
     this->checker.check(target);
 }
 
+void forward_context::record_silent_request(const endpoint& target, const std::vector<std::string>& traits,
+                                            time_point sent_at, std::optional<time_point> first_event_at,
+                                            time_point ended_at)
+{
+    const std::string incarnation = target.incarnation();
+    const bool is_leaving = std::ranges::any_of(this->directory.entries(), [&](const auto& entry) {
+        return entry.second.incarnation() == incarnation && entry.second.is_draining;
+    });
+    if (is_leaving)
+        return;
+    count("radishstep_forward_lost_in_silence_total");
+    log_decision("request_silent", {{"endpoint", target.id}, {"traits", join_first(traits)}});
+    const auto until_end = [ended_at](time_point start) {
+        return std::chrono::duration_cast<std::chrono::microseconds>(ended_at - std::min(start, ended_at));
+    };
+    std::optional<std::chrono::microseconds> answered_for;
+    if (first_event_at)
+        answered_for = until_end(*first_event_at);
+    this->suspects.record_lost_request(incarnation, traits, ended_at, until_end(sent_at), answered_for);
+}
+
+void forward_context::tell_silent_calls()
+{
+    for (open_call* call : this->breaks.silent_calls(runtime_clock::now())) {
+        if (const auto ended_at = this->suspects.down_since(call->endpoint_incarnation(), call->sent_time()))
+            call->tell_process_end(*ended_at);
+    }
+}
+
 void forward_context::report_suspect_send(const std::string& request_id, const endpoint& target,
                                           const std::vector<std::string>& traits) const
 {
@@ -202,6 +231,8 @@
         this->suspects.record_endpoint_down(incarnation, now);
     if (this->health.record_down({incarnation, now, has_refused}))
         log_state("endpoint_down", {{"endpoint", incarnation}, {"seen_by", "this host"}});
+    // One that is left for another engine is soon gone.
+    this->tell_silent_calls();
     this->notify_load_change(true);
 }
 
--- a/src/forward/gateway/forward_context.h
+++ b/src/forward/gateway/forward_context.h
@@ -80,6 +80,14 @@
     void record_lost_request(const endpoint& target, const std::vector<std::string>& traits, time_point sent_at,
                              std::optional<time_point> first_event_at = std::nullopt);
 
+    /// Records in the suspects that a request got no answer at an endpoint whose process was found to have ended at
+    /// `ended_at`, although its connection is still open, unless the endpoint was leaving as planned.
+    void record_silent_request(const endpoint& target, const std::vector<std::string>& traits, time_point sent_at,
+                               std::optional<time_point> first_event_at, time_point ended_at);
+
+    /// Tells the silent calls at endpoints that are known to be down.
+    void tell_silent_calls();
+
     /// Logs and counts that a request is sent on which, or on a part of which, endpoints have crashed.
     void report_suspect_send(const std::string& request_id, const endpoint& target,
                              const std::vector<std::string>& traits) const;
--- a/src/forward/gateway/gateway.cpp
+++ b/src/forward/gateway/gateway.cpp
@@ -523,6 +523,7 @@
             this->context.http_client.close_idle();
         this->context.health.expire_records(now);
         this->context.model.expire(now);
+        this->context.tell_silent_calls();
         this->context.suspects.expire(now);
         this->context.trials.expire(now);
         this->update_ledger(now);
--- a/src/forward/serving/model_forwarder.cpp
+++ b/src/forward/serving/model_forwarder.cpp
@@ -432,6 +432,13 @@
     call->abort = this->active.canceller.begin_call();
     call->sent_at = runtime_clock::now();
     call->connection = std::make_unique<open_call>(this->context.breaks, call->target.incarnation(), call->sent_at);
+    call->connection->on_process_end = [this, sent = call.get()](time_point ended_at) {
+        if (sent->is_shown_sound)
+            return;
+        this->context.record_silent_request(sent->target, this->active.request.traits, sent->sent_at,
+                                            sent->first_event_at, ended_at);
+        this->trial.end(true);
+    };
     http::call_options options;
     options.connect_timeout = std::min(connect_timeout, this->active.canceller.time_left());
     options.idle_timeout = this->active.canceller.time_left();
@@ -472,6 +479,7 @@
     if (failure)
         co_return this->handle_failure(*call, *failure);
     call->has_head = true;
+    call->connection->record_bytes(runtime_clock::now());
     const http::response& head = call->stream->head();
     this->context.record_notice(call->target, call_kind::decode, this->active.request.id, head);
     this->log_call("decode_answered", work_kind::decode, call->target, call->sent_at, head);
@@ -558,6 +566,7 @@
             co_return this->leave_silent(std::move(call));
         if (!chunk)
             co_return this->handle_failure(*call, chunk.error());
+        call->connection->record_bytes(runtime_clock::now());
         const bool is_end = chunk->empty();
         if (is_end && this->is_torn(stream.head()))
             co_return this->handle_failure(
@@ -717,6 +726,7 @@
                                    {"events", std::to_string(this->relay.event_count())},
                                    {"left_ms", std::to_string(this->active.canceller.time_left().count())}});
     this->forget_rejections();
+    this->context.checker.check(call->target);
     if (call->silences == 1)
         this->context.record_call_failure(call->target.incarnation(), error_kind::timed_out);
     this->silent_call = std::move(call);
--- a/src/forward/serving/plain_forwarder.cpp
+++ b/src/forward/serving/plain_forwarder.cpp
@@ -85,6 +85,10 @@
     this->context.report_suspect_send(this->active.request.id, target, this->active.request.traits);
     const time_point sent_at = runtime_clock::now();
     open_call connection{this->context.breaks, incarnation, sent_at};
+    connection.on_process_end = [this, &target, sent_at](time_point ended_at) {
+        this->context.record_silent_request(target, this->active.request.traits, sent_at, std::nullopt, ended_at);
+        this->trial.end(true);
+    };
     // A call that waits for a slot says nothing about the endpoint.
     const bool has_slot = this->context.load.total_at(incarnation, sent_at).calls <= target.slots;
     http::request call =
--- a/src/forward/suspects/crash_suspects.cpp
+++ b/src/forward/suspects/crash_suspects.cpp
@@ -218,6 +218,17 @@
     this->record_endpoint_down(incarnation, now);
 }
 
+std::optional<time_point> crash_suspects::down_since(const std::string& incarnation, time_point since) const
+{
+    std::optional<time_point> latest;
+    for (const auto* evidence : {&this->down_at, &this->process_ended_at, &this->replaced_at}) {
+        const auto known = evidence->find(incarnation);
+        if (known != evidence->end() && since < known->second)
+            latest = std::max(latest.value_or(known->second), known->second);
+    }
+    return latest;
+}
+
 void crash_suspects::record_endpoint_alive(const std::string& incarnation, time_point now)
 {
     this->alive_at[incarnation] = now;
--- a/src/forward/suspects/crash_suspects.h
+++ b/src/forward/suspects/crash_suspects.h
@@ -166,6 +166,10 @@
     /// calls together. Later answers are those of a new incarnation, even under the old registration.
     void record_process_end(const std::string& incarnation, time_point ended_at, time_point now);
 
+    /// Returns when the process of an endpoint was last known to have ended, or to be down, if that was after `since`
+    /// and not long ago.
+    std::optional<time_point> down_since(const std::string& incarnation, time_point since) const;
+
     /// Records that a new incarnation has registered in place of this one, which had not been leaving.
     void record_endpoint_replaced(const std::string& incarnation, time_point now);
 
--- a/tests/forward/test_connection_breaks.cpp
+++ b/tests/forward/test_connection_breaks.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(breaks_one_after_the_other_show_nothing);
     CPPUNIT_TEST(call_sent_after_the_breaks_is_no_survivor);
     CPPUNIT_TEST(breaks_are_forgotten);
+    CPPUNIT_TEST(silent_call_is_told_once_that_its_endpoint_has_ended);
+    CPPUNIT_TEST(call_with_an_answer_that_goes_on_is_not_silent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,6 +106,30 @@
         CPPUNIT_ASSERT(!this->has_ended("a"));
     }
 
+    // Failure: calls to an endpoint that had ended without a word waited for their deadlines and counted for nothing.
+    void silent_call_is_told_once_that_its_endpoint_has_ended()
+    {
+        open_call call{this->breaks, "a", this->now};
+        int told = 0;
+        call.on_process_end = [&](time_point) { ++told; };
+        CPPUNIT_ASSERT(this->breaks.silent_calls(this->now).empty());
+        this->now += connection_breaks::silence_time;
+        for (int i = 0; i < 2; ++i) {
+            for (open_call* silent : this->breaks.silent_calls(this->now))
+                silent->tell_process_end(this->now);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, told);
+    }
+
+    // Guards against blaming a stream for the end of a process that still answers it, such as one that is leaving.
+    void call_with_an_answer_that_goes_on_is_not_silent()
+    {
+        open_call call{this->breaks, "a", this->now};
+        this->now += connection_breaks::silence_time;
+        call.record_bytes(this->now - 1ms);
+        CPPUNIT_ASSERT(this->breaks.silent_calls(this->now).empty());
+    }
+
 private:
     time_point now = runtime_clock::now();
     connection_breaks breaks;
--- a/tests/platform/test_late_registrations.cpp
+++ b/tests/platform/test_late_registrations.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(crashes_count_though_the_next_process_answers_before_it_registers);
     CPPUNIT_TEST(crash_counts_though_no_request_meets_the_engine_while_it_is_away);
     CPPUNIT_TEST(crash_counts_though_the_next_process_is_there_at_once);
+    CPPUNIT_TEST(crash_counts_though_its_call_stays_open_in_silence);
+    CPPUNIT_TEST(crash_counts_though_a_silent_stream_was_left_for_another_engine);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -36,9 +38,9 @@
     static constexpr std::size_t crashes_to_quarantine = 2;
     static constexpr int max_crashes = 10;
 
-    void start(milliseconds away_time)
+    void start(milliseconds away_time, int engines = engine_count)
     {
-        this->site = std::make_unique<platform_site>(0, 0, engine_count);
+        this->site = std::make_unique<platform_site>(0, 0, engines);
         this->site->start_gateway();
         CPPUNIT_ASSERT(this->site->wait_until_ready());
         for (const auto& [id, engine] : this->site->engines) {
@@ -166,6 +168,56 @@
         CPPUNIT_ASSERT_EQUAL(status_ok, this->send("first:10,sound"));
     }
 
+    // Failure: a call whose connection stayed open without a word waited for its deadline and was never counted, though
+    // the engine's registration had ended; requests with the part crashed one engine after the other.
+    void crash_counts_though_its_call_stays_open_in_silence()
+    {
+        this->start(10s);
+        for (const auto& [id, engine] : this->site->engines)
+            engine->set_half_open_crashes();
+        std::vector<std::future<site_response>> deadly;
+        for (std::size_t i = 0; i < crashes_to_quarantine; ++i) {
+            deadly.push_back(asio::co_spawn(
+                this->site->io, call_gateway(this->site->callers_address(), this->make_request("first:10,dead")),
+                asio::use_future));
+            CPPUNIT_ASSERT(wait_until([&] { return this->crashed_engines() == i + 1; }));
+            for (const auto& [id, engine] : this->site->engines) {
+                if (engine->has_crashed())
+                    this->site->store->remove(engine->key());
+            }
+            std::this_thread::sleep_for(1'700ms);
+        }
+        CPPUNIT_ASSERT(this->crash_next() == nullptr);
+        CPPUNIT_ASSERT_EQUAL(status_ok, this->send("first:10,sound"));
+        for (auto& answer : deadly)
+            CPPUNIT_ASSERT(answer.get().status != status_ok);
+    }
+
+    // Failure: as above, for a stream that goes on at another engine after a second of silence, at engines that are met
+    // by nobody else and stay registered.
+    void crash_counts_though_a_silent_stream_was_left_for_another_engine()
+    {
+        this->start(10s, 8);
+        for (const auto& [id, engine] : this->site->engines)
+            engine->set_half_open_crashes();
+        for (std::size_t i = 0; i < crashes_to_quarantine; ++i) {
+            site_request request = this->make_request("first:10,dead");
+            request.path = "/resume/1";
+            request.deadline_ms = 2'000;
+            CPPUNIT_ASSERT(this->site->call(request).status != status_ok);
+        }
+        CPPUNIT_ASSERT(this->crash_next() == nullptr);
+        CPPUNIT_ASSERT_EQUAL(status_ok, this->send("first:10,sound"));
+    }
+
+    std::size_t crashed_engines() const
+    {
+        std::size_t sum = 0;
+        for (const auto& [id, engine] : this->site->engines)
+            sum += engine->has_crashed() ? 1 : 0;
+        return sum;
+    }
+
 private:
     std::unique_ptr<platform_site> site;
     int sent = 0;
