--- a/src/forward/suspects/crash_suspects.cpp
+++ b/src/forward/suspects/crash_suspects.cpp
@@ -485,7 +485,6 @@
 
 /// Marks the record of an endpoint that ended soon after the crash; one that ends later was restarted for another
 /// reason. An end long before the loss is that of an earlier process under the same registration.
-
 void crash_suspects::mark_ended(crash_record& record) const
 {
     const auto replaced = this->replaced_at.find(record.incarnation);
--- a/src/forward/suspects/crash_suspects.h
+++ b/src/forward/suspects/crash_suspects.h
@@ -304,7 +304,6 @@
     /// When incarnations were replaced by new ones, and when a process of theirs was last seen to have ended.
     std::map<std::string, time_point> replaced_at;
     std::map<std::string, time_point> process_ended_at;
-
     std::map<std::string, time_point> alive_at;
     /// Quarantines that were passed to on_quarantine and have not ended, by part.
     std::map<std::string, part_quarantine> announced;
--- a/tests/platform/test_endless_answers.cpp
+++ b/tests/platform/test_endless_answers.cpp
@@ -152,7 +152,7 @@
     /// Faulty endpoints or engines.
     static constexpr int endpoint_count = 24;
     static constexpr int crowd = 1'500;
-    static constexpr milliseconds attack_time{1'200};
+    static constexpr int attack_ms = 1'200;
 
     void start(int plain_endpoints, int prefill_engines, int decode_engines)
     {
@@ -177,6 +177,16 @@
         return asio::co_spawn(this->site->io, call_gateway(this->site->callers_address(), request), asio::use_future);
     }
 
+    std::vector<std::future<site_response>> send_many(int count, const std::string& path, int deadline_ms,
+                                                      const http::headers& headers = {})
+    {
+        std::vector<std::future<site_response>> running;
+        running.reserve(static_cast<std::size_t>(count));
+        for (int i = 0; i < count; ++i)
+            running.push_back(this->send(path, deadline_ms, headers));
+        return running;
+    }
+
     static scripted_answer endless(const endless_form& form, const engine_call& call, milliseconds pause = 1ms)
     {
         const std::vector<std::string> parts = form.make_parts(call);
@@ -206,10 +216,7 @@
     /// Sends a crowd of requests and checks the host meanwhile, and that none of them counts as a success.
     void check_crowd(const std::string& name, const std::string& path, int count, const http::headers& headers = {})
     {
-        std::vector<std::future<site_response>> running;
-        running.reserve(static_cast<std::size_t>(count));
-        for (int i = 0; i < count; ++i)
-            running.push_back(this->send(path, static_cast<int>(attack_time.count()), headers));
+        auto running = this->send_many(count, path, attack_ms, headers);
         CPPUNIT_ASSERT_MESSAGE(name + ": an ordinary call", this->is_ordinary_call_answered());
         for (auto& response : running) {
             const site_response received = response.get();
@@ -236,9 +243,7 @@
                     return {{http_answer(status_ok, engine_headers(call), "sound")}};
                 return endless(form, call);
             });
-            std::vector<std::future<site_response>> running;
-            for (int i = 0; i < crowd; ++i)
-                running.push_back(this->send("/once/1", static_cast<int>(attack_time.count())));
+            auto running = this->send_many(crowd, "/once/1", attack_ms);
             for (auto& response : running) {
                 const site_response received = response.get();
                 CPPUNIT_ASSERT_MESSAGE(form.name, received.status == 0 || received.status >= min_failure_status);
@@ -256,9 +261,7 @@
         for (const endless_form& form : all_forms()) {
             this->start(2, endpoint_count, endpoint_count);
             this->set_endless("r", form);
-            std::vector<std::future<site_response>> running;
-            for (int i = 0; i < 400; ++i)
-                running.push_back(this->send("/stream/1", static_cast<int>(attack_time.count())));
+            auto running = this->send_many(400, "/stream/1", attack_ms);
             CPPUNIT_ASSERT_MESSAGE(form.name, this->is_ordinary_call_answered());
             for (auto& response : running)
                 response.wait();
@@ -323,9 +326,7 @@
                 if (id.starts_with("d"))
                     engine->set_fault(engine_fault::shed);
             }
-            std::vector<std::future<site_response>> running;
-            for (int i = 0; i < 200; ++i)
-                running.push_back(this->send("/stream/1", static_cast<int>(attack_time.count())));
+            auto running = this->send_many(200, "/stream/1", attack_ms);
             CPPUNIT_ASSERT_MESSAGE(form.name, this->is_ordinary_call_answered());
             for (auto& response : running)
                 response.wait();
@@ -431,11 +432,12 @@
                 return answer;
             });
         }
-        std::vector<std::future<site_response>> running;
-        for (int i = 0; i < crowd; ++i)
-            running.push_back(this->send(i % 2 == 0 ? "/once/1" : "/resume/1", 4'000));
-        for (auto& response : running)
-            CPPUNIT_ASSERT(response.get().status != status_ok);
+        auto calls = this->send_many(crowd / 2, "/once/1", 4'000);
+        auto streams = this->send_many(crowd / 2, "/resume/1", 4'000);
+        for (auto* running : {&calls, &streams}) {
+            for (auto& response : *running)
+                CPPUNIT_ASSERT(response.get().status != status_ok);
+        }
         this->check_process("dripping heads");
         for (const auto& [id, engine] : this->site->engines)
             engine->set_script(nullptr);
