--- a/src/wire/radishstep.thrift
+++ b/src/wire/radishstep.thrift
@@ -196,7 +196,8 @@
   // versions send neither.
   6: optional i64 ran_us
   7: optional i32 age_us
-  // The endpoint refused a connection, or a new incarnation replaced it, soon after the crash; goes before `refuted`.
+  // The endpoint refused a connection, broke off all calls of a host together, or was replaced by a new incarnation, soon
+  // after the crash; goes before `refuted`.
   8: optional bool ended
   // The same as `cleared` for all parts, eight a byte. Left out where `cleared` says it all.
   9: optional binary all_cleared
