--- /dev/null
+++ b/src/http/call_errors.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+#include <boost/system/error_code.hpp>
+
+#include "base/error.h"
+
+namespace radishstep::http {
+
+/// Returns the error of a call whose request was sent, at least in part: `timed_out`, `protocol` for a response that is
+/// too long, `connection_lost` otherwise. Counts responses that are too long.
+tl::unexpected<error> to_call_error(const boost::system::error_code& failure);
+
+/// Returns the error of a call that found no connection: `connection_refused` or `not_sent`.
+tl::unexpected<error> to_connect_error(const std::string& address, const boost::system::error_code& failure);
+
+} // namespace radishstep::http
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -14,6 +14,7 @@
 
 #include "base/metrics.h"
 #include "base/text.h"
+#include "http/call_errors.h"
 #include "http/dead_peer.h"
 #include "http/server.h"
 
@@ -107,32 +108,6 @@
     }
 }
 
-bool is_too_long(const error_code& failure)
-{
-    return failure == beast::http::error::header_limit || failure == beast::http::error::body_limit ||
-           failure == beast::http::error::buffer_overflow;
-}
-
-tl::unexpected<error> to_call_error(const error_code& failure)
-{
-    if (failure == beast::error::timeout)
-        return fail(error_kind::timed_out, "the endpoint did not respond in time", "see the endpoint's own log");
-    if (is_too_long(failure)) {
-        count("radishstep_http_responses_too_long_total");
-        return fail(error_kind::protocol, "the response is too long: " + failure.message(),
-                    "see the endpoint's own log");
-    }
-    return fail(error_kind::connection_lost, failure.message(), "see the endpoint's own log");
-}
-
-tl::unexpected<error> to_connect_error(const std::string& address, const error_code& failure)
-{
-    const bool is_refused = failure == asio::error::connection_refused;
-    return fail(is_refused ? error_kind::connection_refused : error_kind::not_sent,
-                "cannot reach " + address + ": " + failure.message(),
-                "start the endpoint or remove it from the configuration");
-}
-
 /// Returns the message of a request, whose body it refers to.
 beast::http::request<beast::http::span_body<const char>> to_beast(const std::string& address, const request& outgoing)
 {
