End calls whose answer has a status that is none

Shown here for 000, 001, 099, 600, 799, 999 and for 100, 101, 103, 199 as the final status, to repeatable and once-only plain calls, 3 MB uploads and both kinds of streams. An order with such an answer counted as accepted, a release as done. A 000 with Not-Executed was believed: a once-only request ran twice and was refused with 503.

Cause: the parser takes any three digits, and a 1xx as the whole response, and only statuses from 500 on counted as failures.

Evidence: on these fail: status_outside_the_final_classes_is_no_answer (10 of 10 statuses on each of the five kinds of calls), invalid_answer_that_denies_a_run_is_not_believed, invalid_answer_is_found_in_a_head_that_comes_in_pieces, invalid_answer_on_a_reused_connection_is_no_answer, sound_engine_answers_what_another_one_broke, invalid_answer_is_logged_and_counted_with_its_reason, order_with_an_invalid_answer_is_not_accepted, release_with_an_invalid_answer_has_failed. invalid_answer_to_a_resumed_stream_adds_nothing_to_it held there.

Change: the client takes the head of every response at one place, take_checked_head, and ends the call there as a protocol error unless the status is one from 200 to 599. That covers all that reads responses, since there is one client. The call may have run, so that what may not be repeated isn't. The failure is counted by reason and logged with the status; failed releases get a log line.

--- a/src/forward/serving/model_forwarder.cpp
+++ b/src/forward/serving/model_forwarder.cpp
@@ -89,8 +89,10 @@
     };
     http::request call = context.dialect.make_release_call(result);
     const auto answer = co_await context.http_client.call(result.address, std::move(call), std::move(options));
-    if (!answer)
-        count("radishstep_forward_release_failed_total");
+    if (answer)
+        co_return;
+    count("radishstep_forward_release_failed_total");
+    log_decision("release_failed", {{"endpoint", target.id}, {"cause", describe(answer.error())}});
 }
 
 } // namespace
--- a/src/http/call_errors.cpp
+++ b/src/http/call_errors.cpp
@@ -42,4 +42,10 @@
                 "start the endpoint or remove it from the configuration");
 }
 
+tl::unexpected<error> fail_invalid_response(std::string_view reason, const std::string& detail)
+{
+    count("radishstep_http_responses_invalid_total", {{"reason", std::string{reason}}});
+    return fail(error_kind::protocol, "the response is invalid: " + detail, "see the endpoint's own log");
+}
+
 } // namespace radishstep::http
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -16,6 +16,7 @@
 #include "base/text.h"
 #include "http/call_errors.h"
 #include "http/dead_peer.h"
+#include "http/response_check.h"
 #include "http/server.h"
 
 namespace radishstep::http {
@@ -135,6 +136,18 @@
     return answer;
 }
 
+/// Returns the head that a parser has read, or a `protocol` error if the response is invalid. Everything that reads
+/// responses takes their heads here.
+template <typename Parser>
+result<response> take_checked_head(const Parser& parser)
+{
+    response head = to_response(parser.get());
+    const auto checked = check_response_head(head);
+    if (!checked)
+        return tl::unexpected{checked.error()};
+    return head;
+}
+
 /// Returns whether a connection is open and nothing has arrived on it.
 bool is_quiet(connection& candidate)
 {
@@ -380,7 +393,10 @@
         const error_code failure = co_await read_limited_head(*this->conn, this->parser, this->head_lines);
         if (failure)
             co_return to_call_error(timer.cause_of(failure));
-        this->response_head = to_response(this->parser.get());
+        auto head = take_checked_head(this->parser);
+        if (!head)
+            co_return tl::unexpected{head.error()};
+        this->response_head = std::move(*head);
         co_return result<void>{};
     }
 
@@ -478,9 +494,11 @@
     const error_code head_failure = co_await read_limited_head(conn, parser, head_lines);
     if (head_failure)
         co_return to_call_error(head_failure);
-    const response head = to_response(parser.get());
+    auto head = take_checked_head(parser);
+    if (!head)
+        co_return tl::unexpected{head.error()};
     if (options.on_head)
-        options.on_head(head);
+        options.on_head(*head);
     while (!parser.is_done()) {
         error_code failure;
         const std::size_t received = co_await beast::http::async_read_some(
--- /dev/null
+++ b/tests/platform/invalid_responses.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "standin_engine.h"
+
+namespace radishstep::testing {
+
+/// A response that breaks the rules of HTTP/1.1.
+struct invalid_response
+{
+    std::string name;
+    /// Returns the bytes of the response to a call, with a body that starts with `body`.
+    std::function<std::string(const engine_call&, const std::string& body)> make;
+};
+
+/// Returns a response with an engine's headers; `status` is the text between the version and the reason, and `lines`
+/// are whole lines, each with its end.
+std::string raw_answer(const engine_call& call, const std::string& status, const std::string& lines,
+                       const std::string& body);
+
+/// Returns responses whose status is none, or one that only interim responses have.
+std::vector<invalid_response> invalid_statuses();
+
+} // namespace radishstep::testing
--- a/tests/platform/raw_server.cpp
+++ b/tests/platform/raw_server.cpp
@@ -104,12 +104,14 @@
     beast::flat_buffer buffer;
     bool is_open = true;
     while (is_open) {
-        beast::http::request<beast::http::string_body> message;
+        beast::http::request_parser<beast::http::string_body> parser;
+        parser.body_limit(boost::none);
         error_code failure;
-        co_await beast::http::async_read(caller->socket, buffer, message,
+        co_await beast::http::async_read(caller->socket, buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, failure));
         if (failure)
             co_return;
+        auto message = parser.release();
         http::request request;
         request.method = std::string{message.method_string()};
         request.target = std::string{message.target()};
