Take malformed answers for invalid ones, not for lost connections

A stream that may be repeated was refused ("endpoints crashed on this request or a part of its prompt") after an engine had sent it a malformed head, in place of going on at the sound second engine. No malformed answer reached a caller.

Cause: to_call_error took each failure of the parser for a lost connection, which is recorded as a possible crash of the endpoint on that request; until that is refuted, the request is not sent to another one.

Change: failures of the parser other than an early end of the connection are protocol errors, counted as "malformed" and logged like other invalid answers. Resets and early ends stay what they were.

--- a/src/http/call_errors.cpp
+++ b/src/http/call_errors.cpp
@@ -20,6 +20,14 @@
            failure == beast::http::error::buffer_overflow;
 }
 
+/// Returns whether the bytes of a response are malformed, rather than its connection has ended too early.
+bool is_malformed(const error_code& failure)
+{
+    using beast::http::error;
+    return failure.category() == make_error_code(error::bad_field).category() && failure != error::end_of_stream &&
+           failure != error::partial_message;
+}
+
 } // namespace
 
 tl::unexpected<error> to_call_error(const error_code& failure)
@@ -31,6 +39,8 @@
         return fail(error_kind::protocol, "the response is too long: " + failure.message(),
                     "see the endpoint's own log");
     }
+    if (is_malformed(failure))
+        return fail_invalid_response("malformed", "it is malformed, " + failure.message());
     return fail(error_kind::connection_lost, failure.message(), "see the endpoint's own log");
 }
 
--- a/src/http/call_errors.h
+++ b/src/http/call_errors.h
@@ -10,7 +10,7 @@
 namespace radishstep::http {
 
 /// Returns the error of a call whose request was sent, at least in part: `timed_out`, `protocol` for a response that is
-/// too long, `connection_lost` otherwise. Counts responses that are too long.
+/// too long or malformed, `connection_lost` for a connection that ended too early. Counts long and malformed responses.
 tl::unexpected<error> to_call_error(const boost::system::error_code& failure);
 
 /// Returns the error of a call that found no connection: `connection_refused` or `not_sent`.
--- a/tests/platform/invalid_responses.h
+++ b/tests/platform/invalid_responses.h
@@ -33,4 +33,7 @@
 /// Returns invalid_statuses() and invalid_codings().
 std::vector<invalid_response> invalid_heads();
 
+/// Returns responses whose head, length, chunks or trailers have a malformed line.
+std::vector<invalid_response> malformed_lines();
+
 } // namespace radishstep::testing
--- a/tests/platform/test_invalid_answers.cpp
+++ b/tests/platform/test_invalid_answers.cpp
@@ -51,12 +51,14 @@
     CPPUNIT_TEST_SUITE(test_invalid_answers);
     CPPUNIT_TEST(status_outside_the_final_classes_is_no_answer);
     CPPUNIT_TEST(body_in_a_coding_other_than_chunks_is_no_answer);
+    CPPUNIT_TEST(malformed_line_is_no_answer);
     CPPUNIT_TEST(invalid_answer_that_denies_a_run_is_not_believed);
     CPPUNIT_TEST(invalid_answer_is_found_in_a_head_that_comes_in_pieces);
     CPPUNIT_TEST(invalid_answer_on_a_reused_connection_is_no_answer);
     CPPUNIT_TEST(sound_engine_answers_what_another_one_broke);
     CPPUNIT_TEST(invalid_answer_to_a_resumed_stream_adds_nothing_to_it);
     CPPUNIT_TEST(invalid_answer_is_logged_and_counted_with_its_reason);
+    CPPUNIT_TEST(malformed_answer_is_no_sign_of_a_crash);
     CPPUNIT_TEST(unusual_but_sound_heads_are_passed_on);
     CPPUNIT_TEST_SUITE_END();
 
@@ -107,8 +109,7 @@
     {
         if (response.status == status_ok && !response.is_complete)
             return whole_stream(this->last_id()).starts_with(response.body);
-        return response.is_complete && response.status == status_bad_gateway &&
-               http::find_header(response.lines, "Server-Signature").empty() &&
+        return response.is_complete && response.status == status_bad_gateway && http::find_header(response.lines, "Server-Signature").empty() &&
                response.body.find(engine_body) == std::string::npos;
     }
 
@@ -150,6 +151,9 @@
     // Guards against bodies with the engine's framing or coded bytes in them.
     void body_in_a_coding_other_than_chunks_is_no_answer() { this->check_forms(invalid_codings()); }
 
+    // Guards against malformed lines that are passed on, or that hide where the body ends.
+    void malformed_line_is_no_answer() { this->check_forms(malformed_lines()); }
+
     // Guards against a refusal that says "not run" on the word of an engine whose answers are invalid.
     void invalid_answer_that_denies_a_run_is_not_believed()
     {
@@ -234,15 +238,18 @@
     void invalid_answer_to_a_resumed_stream_adds_nothing_to_it()
     {
         std::string faults;
-        for (const invalid_response& form : invalid_heads()) {
-            this->set_script([form](const engine_call& call) -> scripted_answer {
-                if (is_resumed(call))
-                    return closed_after(form.make(call, stream_events(call, 4, 8)));
-                return {{unframed_stream(call, 1, 3)}, answer_end::reset};
-            });
-            const site_response response = this->call("/resume/1");
-            if (response.is_complete || !whole_stream(this->last_id()).starts_with(response.body))
-                faults += form.name + " '" + response.body + "'; ";
+        for (const auto& forms : {invalid_heads(), malformed_lines()}) {
+            for (const invalid_response& form : forms) {
+                this->set_script([form](const engine_call& call) -> scripted_answer {
+                    if (is_resumed(call))
+                        return closed_after(form.make(call, stream_events(call, 4, 8)));
+                    return {{unframed_stream(call, 1, 3)}, answer_end::reset};
+                });
+                const site_response response = this->call("/resume/1");
+                // Events that come whole before a break in the chunks are the engine's own.
+                if (response.is_complete || !whole_stream(this->last_id()).starts_with(response.body))
+                    faults += form.name + " '" + response.body + "'; ";
+            }
         }
         CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
     }
@@ -259,6 +266,7 @@
         const std::vector<reason> reasons{
             {invalid_statuses().front(), "its status is 000", R"(reason="status")"},
             {invalid_codings().front(), "its transfer coding is 'xchunked'", R"(reason="transfer_coding")"},
+            {malformed_lines().front(), "it is malformed, bad field", R"(reason="malformed")"},
         };
         for (const auto& [form, logged, counted] : reasons) {
             this->set_script(
@@ -280,6 +288,23 @@
         }
     }
 
+    // Failure: a malformed answer counted as a lost connection, which may be the sign of a crash. The request was then
+    // refused in place of going on at a sound engine.
+    void malformed_answer_is_no_sign_of_a_crash()
+    {
+        const invalid_response form = malformed_lines().front();
+        const auto breaks = [form](const engine_call& call) { return closed_after(form.make(call, engine_body)); };
+        this->site->engine("p0").set_script(breaks);
+        this->site->engine("d0").set_script(breaks);
+        for (int i = 0; i < 6; ++i) {
+            CPPUNIT_ASSERT_EQUAL(status_ok, this->call("/plain/1").status);
+            CPPUNIT_ASSERT_EQUAL(whole_stream(this->last_id()), this->call("/resume/1").body);
+        }
+        CPPUNIT_ASSERT(this->site->engine("p0").runs() > 0 && this->site->engine("d0").runs() > 0);
+        const std::string log = this->site->log();
+        CPPUNIT_ASSERT_MESSAGE(log, log.find("decision=request_lost") == std::string::npos);
+    }
+
     // Guards against sound answers that are refused: any final status, codings in any case, folded values.
     void unusual_but_sound_heads_are_passed_on()
     {
