Keep a reset that is met while a silent stream is watched

A stream without framing fell silent after 3 of its 8 events and another engine was asked; then the first engine reset its connection.

Cause: while another engine is asked, has_unread_bytes() looks at the silent connection. The kernel reports a reset once; the read after it met a regular end, which ends an answer that has neither a length nor chunks.

Change: the stream keeps the failure and returns it from the next read, as connection_lost. is_quiet() for idle connections is unchanged: those that show a failure are closed.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -149,15 +149,22 @@
     return head;
 }
 
-/// Returns whether a connection is open and nothing has arrived on it.
-bool is_quiet(connection& candidate)
+/// Returns what a read would meet: no error if bytes have arrived, would_block if the connection is open and nothing
+/// has, or how it ended. The kernel reports a reset only once; the next read would then meet a regular end.
+error_code peek(connection& candidate)
 {
     char next = 0;
     error_code failure;
     auto& socket = candidate.stream.socket();
     socket.non_blocking(true, failure);
     socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, failure);
-    return failure == asio::error::would_block;
+    return failure;
+}
+
+/// Returns whether a connection is open and nothing has arrived on it.
+bool is_quiet(connection& candidate)
+{
+    return peek(candidate) == asio::error::would_block;
 }
 
 /// Returns the idle timeout that the endpoint announces in its Keep-Alive header, less a margin: a request sent
@@ -390,6 +397,8 @@
 
     asio::awaitable<result<void>> read_head() override
     {
+        if (this->peeked_failure)
+            co_return to_call_error(this->peeked_failure);
         const read_timer timer{this->conn, this->read_timeout};
         const error_code failure = co_await read_limited_head(*this->conn, this->parser, this->head_lines);
         if (failure)
@@ -405,12 +414,22 @@
 
     void set_read_timeout(milliseconds timeout) override { this->read_timeout = timeout; }
 
-    bool has_unread_bytes() override { return !is_quiet(*this->conn); }
+    bool has_unread_bytes() override
+    {
+        const error_code state = peek(*this->conn);
+        if (state == asio::error::would_block)
+            return false;
+        if (state && state != asio::error::eof)
+            this->peeked_failure = state;
+        return true;
+    }
 
     asio::awaitable<result<std::string>> next() override
     {
         std::string part;
         while (part.empty() && !this->parser.is_done()) {
+            if (this->peeked_failure)
+                co_return to_call_error(this->peeked_failure);
             auto& body = this->parser.get().body();
             body.data = this->read_buffer.data();
             body.size = this->read_buffer.size();
@@ -438,6 +457,8 @@
     beast::http::response_parser<beast::http::buffer_body> parser;
     head_line_counter head_lines;
     response response_head;
+    /// Failure of the connection that has_unread_bytes() met.
+    error_code peeked_failure;
     std::array<char, stream_read_bytes> read_buffer;
     bool is_released = false;
 };
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -386,9 +386,7 @@
         co_return false;
     }
     if (answer.end == answer_end::reset) {
-        // The reset must not overtake the bytes before it, which the peer would then never read.
-        constexpr milliseconds delivery_time{20};
-        co_await pause_for(delivery_time);
+        co_await pause_for(answer.reset_delay);
         caller.reset();
     }
     if (answer.end == answer_end::close)
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -88,6 +88,8 @@
     milliseconds pause{0};
     /// Sent after the parts again and again, with the pause, until the peer closes the connection; "" sends nothing.
     std::string repeated = {};
+    /// Time before a reset. By default long enough for the bytes before it, which the peer would else never read.
+    milliseconds reset_delay{20};
 
     bool operator==(const scripted_answer&) const = default;
 };
--- a/tests/platform/test_unframed_answers.cpp
+++ b/tests/platform/test_unframed_answers.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(stream_that_ended_inside_an_event_goes_on_at_another_engine);
     CPPUNIT_TEST(stream_that_ends_before_its_first_event_is_not_complete);
     CPPUNIT_TEST(stream_reset_before_its_end_is_not_complete);
+    CPPUNIT_TEST(reset_of_a_silent_engine_does_not_complete_its_stream);
     CPPUNIT_TEST(plain_answer_that_ends_with_its_connection_is_forwarded_whole);
     CPPUNIT_TEST(plain_answer_reset_before_its_end_is_not_forwarded);
     CPPUNIT_TEST(plain_answer_that_stays_open_is_not_complete);
@@ -161,6 +162,25 @@
         CPPUNIT_ASSERT_EQUAL(whole_stream("attempt-1"), this->call("/resume/1").body);
     }
 
+    // Failure: a stream without framing was reset while its engine was silent and another one was asked. The reset was
+    // found, and the events that had come were sent as the whole stream.
+    void reset_of_a_silent_engine_does_not_complete_its_stream()
+    {
+        this->set_script([](const engine_call& call) -> scripted_answer {
+            if (is_resumed(call)) {
+                const std::string rest = stream_answer(call, unframed_answer, standin_engine::stream_events, "");
+                return {{"", rest}, answer_end::close, true, 3s};
+            }
+            scripted_answer silent{{stream_answer(call, unframed_answer, 3, "")}, answer_end::reset};
+            silent.reset_delay = 1'350ms;
+            return silent;
+        });
+        const site_response response = this->call("/resume/1", 8'000);
+        CPPUNIT_ASSERT(this->site->log().find("decision=engine_silent") != std::string::npos);
+        CPPUNIT_ASSERT(whole_stream("attempt-1").starts_with(response.body));
+        CPPUNIT_ASSERT(!response.is_complete || response.body == whole_stream("attempt-1"));
+    }
+
     // Guards against answers without framing that are lost, failures among them.
     void plain_answer_that_ends_with_its_connection_is_forwarded_whole()
     {
