Test answers to uploads that nobody has read

Operators saw, on other systems, a part of an early 200 to a long upload taken for the whole answer when the engine reset the connection.

The stand-in engine can answer when only a request's head has arrived, with a small receive buffer, and end an answer by FIN and a later reset.

An answer that its engine has ended (FIN) before the reset is whole: RFC 9112, sections 8 and 9.6.

--- a/tests/platform/raw_server.cpp
+++ b/tests/platform/raw_server.cpp
@@ -41,6 +41,12 @@
     this->socket.close(ignored);
 }
 
+void raw_connection::shut_down_sending()
+{
+    error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 bool raw_connection::is_closed_by_peer()
 {
     std::array<char, 1> next{};
@@ -95,11 +101,16 @@
         const auto caller = std::make_shared<raw_connection>(std::move(socket));
         std::erase_if(this->connections, [](const auto& known) { return known.expired(); });
         this->connections.push_back(caller);
-        asio::co_spawn(this->listener.get_executor(), serve(caller, this->handler), asio::detached);
+        asio::co_spawn(this->listener.get_executor(), this->serve(caller), asio::detached);
     }
 }
 
-asio::awaitable<void> raw_server::serve(std::shared_ptr<raw_connection> caller, raw_handler handler)
+void raw_server::set_receive_buffer(int bytes)
+{
+    this->listener.set_option(asio::socket_base::receive_buffer_size{bytes});
+}
+
+asio::awaitable<void> raw_server::serve(std::shared_ptr<raw_connection> caller)
 {
     beast::flat_buffer buffer;
     bool is_open = true;
@@ -107,8 +118,11 @@
         beast::http::request_parser<beast::http::string_body> parser;
         parser.body_limit(boost::none);
         error_code failure;
-        co_await beast::http::async_read(caller->socket, buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, failure));
+        co_await beast::http::async_read_header(caller->socket, buffer, parser,
+                                                asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure && !this->answers_early)
+            co_await beast::http::async_read(caller->socket, buffer, parser,
+                                             asio::redirect_error(asio::use_awaitable, failure));
         if (failure)
             co_return;
         auto message = parser.release();
@@ -118,7 +132,7 @@
         for (const auto& field : message)
             request.lines.push_back({std::string{field.name_string()}, std::string{field.value()}});
         request.body = std::move(message.body());
-        is_open = co_await handler(request, *caller);
+        is_open = co_await this->handler(request, *caller);
     }
 }
 
--- a/tests/platform/raw_server.h
+++ b/tests/platform/raw_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
@@ -27,6 +28,9 @@
     /// Shuts the connection down and closes it.
     void close();
 
+    /// Ends this side of the connection; the other side may still be read.
+    void shut_down_sending();
+
     /// Returns whether the peer has closed the connection.
     bool is_closed_by_peer();
 
@@ -57,13 +61,20 @@
     /// Resets all connections; called on the executor.
     void reset_connections();
 
+    /// Hands each request over as soon as its head has arrived, without its body, which is not read.
+    void set_answering_early(bool early) { this->answers_early = early; }
+
+    /// Sets the kernel's receive buffer of connections that are accepted from now on.
+    void set_receive_buffer(int bytes);
+
 private:
     boost::asio::awaitable<void> accept();
-    static boost::asio::awaitable<void> serve(std::shared_ptr<raw_connection> caller, raw_handler handler);
+    boost::asio::awaitable<void> serve(std::shared_ptr<raw_connection> caller);
 
     boost::asio::ip::tcp::acceptor listener;
     std::string listening_address;
     raw_handler handler;
+    std::atomic<bool> answers_early = false;
     std::vector<std::weak_ptr<raw_connection>> connections;
 };
 
--- a/tests/platform/standin_engine.cpp
+++ b/tests/platform/standin_engine.cpp
@@ -385,7 +385,9 @@
         co_await send_without_end(caller, answer.repeated, answer.pause);
         co_return false;
     }
-    if (answer.end == answer_end::reset) {
+    if (answer.end == answer_end::shut_down_then_reset)
+        caller.shut_down_sending();
+    if (answer.end == answer_end::reset || answer.end == answer_end::shut_down_then_reset) {
         co_await pause_for(answer.reset_delay);
         caller.reset();
     }
--- a/tests/platform/standin_engine.h
+++ b/tests/platform/standin_engine.h
@@ -76,7 +76,13 @@
 };
 
 /// What happens to the connection after a scripted answer.
-enum class answer_end { keep_open, close, reset };
+enum class answer_end {
+    keep_open,
+    close,
+    reset,
+    /// The engine ends its side of the connection, and resets the connection after the delay.
+    shut_down_then_reset,
+};
 
 /// The bytes that an engine answers a call with, sent in parts.
 struct scripted_answer
@@ -134,6 +140,10 @@
     void set_script(answer_script script);
     /// Answers orders and releases as the script says.
     void set_control_script(answer_script script);
+    /// Answers calls when only their heads have arrived; their bodies are never read.
+    void set_answering_early(bool early) { this->server.set_answering_early(early); }
+    /// Sets the kernel's receive buffer of connections that are accepted from now on.
+    void set_receive_buffer(int bytes) { this->server.set_receive_buffer(bytes); }
     /// Makes all answers from now on say that the engine is leaving.
     void set_leaving(bool leaving);
 
