--- a/tests/platform/platform_site.cpp
+++ b/tests/platform/platform_site.cpp
@@ -277,6 +277,29 @@
     return {std::istreambuf_iterator<char>{file}, {}};
 }
 
+std::string platform_site::metrics(std::size_t host)
+{
+    site_request scrape;
+    scrape.method = "GET";
+    scrape.path = "/metrics";
+    scrape.body.clear();
+    return this->calls.wait(call_gateway(this->peer_address(host), scrape)).body;
+}
+
+void platform_site::set_script(const answer_script& script)
+{
+    for (const auto& [id, engine] : this->engines)
+        engine->set_script(script);
+}
+
+int platform_site::total_runs() const
+{
+    int sum = 0;
+    for (const auto& [id, engine] : this->engines)
+        sum += engine->runs();
+    return sum;
+}
+
 standin_engine& platform_site::engine(const std::string& id)
 {
     for (const auto& [name, engine] : this->engines) {
--- a/tests/platform/platform_site.h
+++ b/tests/platform/platform_site.h
@@ -100,8 +100,17 @@
     /// Keeps the hosts' settings and logs after destruction; returns their directory.
     const std::string& keep_files();
 
+    /// Returns a host's metrics in Prometheus' text form.
+    std::string metrics(std::size_t host = 0);
+
     standin_engine& engine(const std::string& id);
 
+    /// Sets the script of all engines.
+    void set_script(const answer_script& script);
+
+    /// Returns the number of calls that all engines together have run.
+    int total_runs() const;
+
     boost::asio::io_context io;
     std::unique_ptr<standin_store> store;
     std::vector<std::pair<std::string, std::unique_ptr<standin_engine>>> engines;
