--- a/src/http/response_check.cpp
+++ b/src/http/response_check.cpp
@@ -68,7 +68,8 @@
     const bool is_chunked = codings.size() == 1 && boost::algorithm::iequals(codings.front(), "chunked");
     if (is_chunked && is_read_in_chunks)
         return {};
-    return fail_invalid_response("transfer_coding", "its transfer coding is '" + printable_excerpt(join(codings)) + "'");
+    return fail_invalid_response("transfer_coding",
+                                 "its transfer coding is '" + printable_excerpt(join(codings)) + "'");
 }
 
 } // namespace radishstep::http
--- a/tests/platform/invalid_responses.cpp
+++ b/tests/platform/invalid_responses.cpp
@@ -24,7 +24,7 @@
 
 /// Returns a form with status 200, these lines and an encoded body.
 invalid_response with_coding(const std::string& name, const std::string& lines,
-                        const std::function<std::string(const std::string&)>& encode)
+                             const std::function<std::string(const std::string&)>& encode)
 {
     return {"coding " + name, [lines, encode](const engine_call& call, const std::string& body) {
                 return raw_answer(call, "200", lines, encode(body));
