Replay no recorded answer that an endpoint may not send

What callers saw: a status of 000 as an answer, from hosts that have taken none from an endpoint since the last repair. Whether this is what the operators met is not known.

A status over 999, negative or no number ended in a 502 that said "not run", though the call had run.

Fix: an answered claim whose status is not final or whose body cannot be decoded counts as a call whose outcome is unknown, which 409 duplicate_call, may_have_run, says already; nothing runs again. The rule for the status is that of the HTTP client.

Why the earlier tests missed it: none ran the entry, and the callers of its other tests use the router's own HTTP client, which takes a 000 for a broken connection.

--- a/src/http/response_check.cpp
+++ b/src/http/response_check.cpp
@@ -58,9 +58,14 @@
 
 } // namespace
 
+bool is_final_status(unsigned status)
+{
+    return status >= min_final_status && status <= max_status;
+}
+
 result<void> check_response_head(const response& head, bool is_read_in_chunks)
 {
-    if (head.status < min_final_status || head.status > max_status)
+    if (!is_final_status(head.status))
         return fail_invalid_response("status", "its status is " + to_text(head.status));
     if (!has_transfer_coding(head.lines))
         return {};
--- a/src/keyvalue/claim_store.cpp
+++ b/src/keyvalue/claim_store.cpp
@@ -1,5 +1,6 @@
 #include "keyvalue/claim_store.h"
 
+#include <limits>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
@@ -8,9 +9,11 @@
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
+#include "base/log.h"
 #include "base/metrics.h"
 #include "base/pause.h"
 #include "base/text.h"
+#include "http/response_check.h"
 #include "keyvalue/kv_client.h"
 
 namespace radishstep {
@@ -46,6 +49,25 @@
     return name == "not_run" ? claim_status::not_run : claim_status::in_progress;
 }
 
+/// Returns a field's text, "" if it has none.
+std::string text_field(const nlohmann::json& json, const char* name)
+{
+    const auto found = json.find(name);
+    return found != json.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+/// Returns the recorded status of an answer, or nothing if it is not that of a final response.
+std::optional<unsigned> final_status_field(const nlohmann::json& json, const char* name)
+{
+    const auto found = json.find(name);
+    if (found == json.end() || !found->is_number_unsigned())
+        return std::nullopt;
+    const auto status = found->get<std::uint64_t>();
+    const bool is_final =
+        status <= std::numeric_limits<unsigned>::max() && http::is_final_status(static_cast<unsigned>(status));
+    return is_final ? std::optional{static_cast<unsigned>(status)} : std::nullopt;
+}
+
 std::optional<claim_record> record_from(const std::optional<kv_entry>& entry)
 {
     return entry ? std::optional{parse_claim(entry->value)} : std::nullopt;
@@ -156,12 +178,23 @@
     const auto json = nlohmann::json::parse(text, nullptr, false);
     if (!json.is_object())
         return record;
-    record.owner = json.value("owner", "");
-    record.fingerprint = json.value("fingerprint", "");
-    record.status = parse_status(json.value("status", ""));
-    record.http_status = json.value("http_status", 0U);
-    record.content_type = json.value("content_type", "");
-    record.body = from_base64(json.value("body", "")).value_or("");
+    record.owner = text_field(json, "owner");
+    record.fingerprint = text_field(json, "fingerprint");
+    record.status = parse_status(text_field(json, "status"));
+    if (record.status != claim_status::answered)
+        return record;
+    const auto http_status = final_status_field(json, "http_status");
+    auto body = from_base64(text_field(json, "body"));
+    if (!http_status || !body) {
+        count("radishstep_claim_answers_unusable_total");
+        log_decision("claim_unusable", {{"request", record.owner},
+                                        {"cause", http_status ? "the body is not Base64" : "the status is not final"}});
+        record.status = claim_status::in_progress;
+        return record;
+    }
+    record.http_status = *http_status;
+    record.content_type = text_field(json, "content_type");
+    record.body = std::move(*body);
     return record;
 }
 
--- a/src/keyvalue/claim_store.h
+++ b/src/keyvalue/claim_store.h
@@ -66,7 +66,9 @@
 
 /// Returns the JSON form of a claim.
 std::string to_json(const claim_record& record);
-/// Returns the claim in a JSON text; malformed text gives a claim in progress without an owner.
+/// Returns the claim in a JSON text; malformed text gives a claim in progress without an owner. An answer that cannot
+/// be replayed, since its status is not that of a final response or its body is not Base64, gives a claim in progress:
+/// its call has run. It is counted.
 claim_record parse_claim(const std::string& text);
 
 } // namespace radishstep
--- a/tests/unit/test_completion_api.cpp
+++ b/tests/unit/test_completion_api.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(event_over_the_size_limit_fails_the_stream);
     CPPUNIT_TEST(query_parameters_are_parsed);
     CPPUNIT_TEST(claims_round_trip_and_malformed_claims_are_tolerated);
+    CPPUNIT_TEST(claim_whose_answer_cannot_be_replayed_stays_taken);
     CPPUNIT_TEST(invalid_entry_settings_are_rejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -102,6 +103,28 @@
         CPPUNIT_ASSERT(parse_claim(R"({"body":"?"})").body.empty());
     }
 
+    // Guards against recorded answers that no endpoint may send, and against calls that run again behind them.
+    void claim_whose_answer_cannot_be_replayed_stays_taken()
+    {
+        constexpr unsigned statuses = 1'000;
+        claim_record unknown;
+        unknown.owner = "o";
+        unknown.fingerprint = "f";
+        for (unsigned status = 0; status < statuses; ++status) {
+            const claim_record record{"o", "f", claim_status::answered, status, "text/plain", "body"};
+            const bool is_final = status >= 200 && status < 600;
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(status),
+                                   parse_claim(to_json(record)) == (is_final ? record : unknown));
+        }
+        for (const char* rest :
+             {R"("http_status":-1,"body":"")", R"("http_status":200.0,"body":"")", R"("http_status":"200","body":"")",
+              R"("http_status":18446744073709551615,"body":"")", R"("http_status":4294967496,"body":"")",
+              R"("body":"")", R"("http_status":200,"body":"?")"}) {
+            const std::string text = R"({"owner":"o","fingerprint":"f","status":"answered",)" + std::string{rest} + "}";
+            CPPUNIT_ASSERT_MESSAGE(text, parse_claim(text) == unknown);
+        }
+    }
+
     void invalid_entry_settings_are_rejected()
     {
         const char* const missing[] = {"radishstep-entry", "--host=h"};
