Assert what the test of the store's invalid answers names

The comment named a configuration, entries and leases; the test asserted the configuration. It asserts now that an entry in such an answer is not used and the removal of another one not believed, that the registration's renewal has failed with this reason and the registration has not ended, and that a starting host has no lease. It plays statuses that are none, too, 000 first; before, the store's answers had only the codings that a lenient reader decodes.

The scripts of three tests referred to locals that end before the site does; they hold copies.

--- a/tests/platform/test_invalid_control_answers.cpp
+++ b/tests/platform/test_invalid_control_answers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
 using namespace std::chrono_literals;
 
 constexpr unsigned status_ok = 200;
+/// Stands in the log where an invalid answer is the cause of a failure.
+constexpr const char* invalid_cause = "the response is invalid";
 
 /// Answers that are no sound HTTP to the gateway's own calls: to prefill engines, orders, releases and the store.
 class test_invalid_control_answers : public CppUnit::TestFixture
@@ -34,6 +37,11 @@
     void start(int plain_endpoints, int prefill_engines, int decode_engines)
     {
         this->site = std::make_unique<platform_site>(plain_endpoints, prefill_engines, decode_engines);
+        this->start_host();
+    }
+
+    void start_host()
+    {
         this->site->set_retry_slack(10'000);
         this->site->start_gateway();
         CPPUNIT_ASSERT(this->site->wait_until_ready());
@@ -75,7 +83,7 @@
         forms.push_back(invalid_codings().front());
         for (const invalid_response& form : forms) {
             this->start(0, 1, 2);
-            this->site->engine("r0").set_script([&](const engine_call& call) -> scripted_answer {
+            this->site->engine("r0").set_script([form, result](const engine_call& call) -> scripted_answer {
                 return {{form.make(call, result)}, answer_end::close};
             });
             const site_response response = this->send_stream();
@@ -95,10 +103,10 @@
         const std::vector<invalid_response> forms = invalid_heads();
         constexpr int surplus_engines = 30;
         this->start(0, surplus_engines, 1);
-        std::atomic<std::size_t> turn = 0;
+        const auto turn = std::make_shared<std::atomic<std::size_t>>(0);
         for (const auto& [id, engine] : this->site->engines) {
-            engine->set_control_script([&](const engine_call& call) -> scripted_answer {
-                return {{forms[turn++ % forms.size()].make(call, "")}, answer_end::close};
+            engine->set_control_script([forms, turn](const engine_call& call) -> scripted_answer {
+                return {{forms[(*turn)++ % forms.size()].make(call, "")}, answer_end::close};
             });
         }
         const auto orders = static_cast<std::ptrdiff_t>(forms.size());
@@ -118,7 +126,7 @@
         this->site->engine("d0").set_fault(engine_fault::shed);
         int released = 0;
         for (const invalid_response& form : invalid_heads()) {
-            this->site->engine("r0").set_control_script([&](const engine_call& call) -> scripted_answer {
+            this->site->engine("r0").set_control_script([form](const engine_call& call) -> scripted_answer {
                 return {{form.make(call, "")}, answer_end::close};
             });
             this->send_stream();
@@ -133,44 +141,76 @@
         CPPUNIT_ASSERT(log.find("its status is 000", logged) != std::string::npos);
     }
 
-    // Guards against a configuration, entries or leases that a host took out of an invalid answer of the store.
+    // Guards against a configuration, entries or the end of a lease that a host took out of an invalid answer of the
+    // store.
     void invalid_answers_of_the_store_tell_nothing()
     {
-        this->start(2, 0, 0);
-        this->break_store_answers();
-        for (int version = 2; version < 5; ++version) {
-            // Ends the waiting watches, so that their next calls meet the fault.
-            this->site->write_config(version, version > 2 ? "/added/" : "");
-            std::this_thread::sleep_for(700ms);
-            CPPUNIT_ASSERT_EQUAL(404U, this->status_of("/added/1"));
-            CPPUNIT_ASSERT_EQUAL(status_ok, this->status_of("/plain/1"));
+        for (const auto& forms : {lenient_codings(), invalid_statuses()}) {
+            this->site = std::make_unique<platform_site>(2, 0, 0);
+            const std::string key = this->site->engine("p1").key();
+            this->site->store->remove(key);
+            this->start_host();
+            this->break_store_answers(forms);
+            // These changes are in the answers to the waiting watches.
+            this->site->store->put(key, this->site->engine("p1").entry());
+            this->site->store->remove(this->site->engine("p0").key());
+            for (int version = 2; version < 5; ++version) {
+                this->site->write_config(version, version > 2 ? "/added/" : "");
+                std::this_thread::sleep_for(700ms);
+                CPPUNIT_ASSERT_EQUAL(404U, this->status_of("/added/1"));
+                CPPUNIT_ASSERT_EQUAL(status_ok, this->status_of("/plain/1"));
+            }
+            CPPUNIT_ASSERT(wait_until([this] { return this->has_logged("state=renewal_failed", invalid_cause); }, 8s));
+            CPPUNIT_ASSERT(this->has_logged("state=keyvalue_lost", invalid_cause));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->site->engine("p1").calls().size());
+            this->site->store->set_answer_form(nullptr);
+            CPPUNIT_ASSERT(wait_until([this] { return this->status_of("/added/1") == status_ok; }, 10s));
+            CPPUNIT_ASSERT(wait_until(
+                [this] {
+                    this->status_of("/plain/1");
+                    return !this->site->engine("p1").calls().empty();
+                },
+                10s));
+            CPPUNIT_ASSERT(!this->has_logged("state=registration_ended"));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->site->store->keys("radishstep/hosts/").size());
         }
-        CPPUNIT_ASSERT(this->site->log().find("the response is invalid") != std::string::npos);
-        this->site->store->set_answer_form(nullptr);
-        CPPUNIT_ASSERT(wait_until([this] { return this->status_of("/added/1") == status_ok; }, 10s));
     }
 
-    // Guards against a host that starts with a configuration out of an invalid answer.
+    // Guards against a host that starts with a configuration or a lease out of an invalid answer.
     void invalid_answers_of_the_store_make_no_starting_host_ready()
     {
-        this->site = std::make_unique<platform_site>(2, 0, 0);
-        this->break_store_answers();
-        this->site->start_gateway();
-        CPPUNIT_ASSERT(!this->site->wait_until_ready(4s));
-        CPPUNIT_ASSERT(this->site->gateway()->is_running());
-        this->site->store->set_answer_form(nullptr);
-        CPPUNIT_ASSERT(this->site->wait_until_ready(10s));
-        CPPUNIT_ASSERT_EQUAL(status_ok, this->status_of("/plain/1"));
+        for (const auto& forms : {lenient_codings(), invalid_statuses()}) {
+            this->site = std::make_unique<platform_site>(2, 0, 0);
+            this->break_store_answers(forms);
+            this->site->start_gateway();
+            CPPUNIT_ASSERT(!this->site->wait_until_ready(4s));
+            CPPUNIT_ASSERT(this->site->gateway()->is_running());
+            CPPUNIT_ASSERT(!this->has_logged("state=registered"));
+            this->site->store->set_answer_form(nullptr);
+            CPPUNIT_ASSERT(this->site->wait_until_ready(10s));
+            CPPUNIT_ASSERT(wait_until([this] { return this->has_logged("state=registered"); }, 10s));
+            CPPUNIT_ASSERT_EQUAL(status_ok, this->status_of("/plain/1"));
+        }
     }
 
 private:
-    /// Lets each answer of the store have the next of the forms from which a lenient reader would get its body.
-    void break_store_answers()
+    /// Lets each answer of the store have the next of these forms.
+    void break_store_answers(const std::vector<invalid_response>& forms)
     {
         const auto turn = std::make_shared<std::atomic<std::size_t>>(0);
-        this->site->store->set_answer_form([turn, forms = lenient_codings()](const std::string& body) {
-            return forms[(*turn)++ % forms.size()].make({}, body);
-        });
+        this->site->store->set_answer_form(
+            [turn, forms](const std::string& body) { return forms[(*turn)++ % forms.size()].make({}, body); });
+    }
+
+    /// Returns whether a line of the gateway's log has both texts.
+    bool has_logged(const std::string& state, const std::string& cause = "") const
+    {
+        std::istringstream log{this->site->log()};
+        for (std::string line; std::getline(log, line);) {
+            if (line.find(state + " ") != std::string::npos && line.find(cause) != std::string::npos)
+                return true;
+        }
+        return false;
     }
 
     std::unique_ptr<platform_site> site;
