Read no list of hosts out of an error answer

What callers saw: nothing broken, but hosts that took no more calls (entry not ready) since the platform's host list answered with an error whose body was a list.

Cause: host_list_client asked for a JSON array and not for the status. Found while all readers of answers were gone through.

The brokers log host_list_down with the cause, which had no line before.

Why the earlier tests missed it: the list was always answered with 200, and no test of the brokers played a status at all.

--- a/src/broker/platform_duty.cpp
+++ b/src/broker/platform_duty.cpp
@@ -85,8 +85,14 @@
 asio::awaitable<void> platform_duty::poll_host_list()
 {
     std::vector<listed_host> last_hosts;
+    bool is_unavailable = false;
     while (true) {
         const auto listed = co_await this->host_list.fetch();
+        if (listed.has_value() == is_unavailable) {
+            is_unavailable = !listed.has_value();
+            log_state(is_unavailable ? "host_list_down" : "host_list_up",
+                      {{"cause", listed ? "" : describe(listed.error())}});
+        }
         if (listed && *listed != last_hosts) {
             last_hosts = *listed;
             to_membership::seeds seeds;
--- a/tests/entry/test_entry_answers.cpp
+++ b/tests/entry/test_entry_answers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <vector>
@@ -46,6 +47,7 @@
     CPPUNIT_TEST(recorded_answer_with_status_000_is_not_replayed);
     CPPUNIT_TEST(status_000_of_the_store_grants_no_claim_and_tells_nothing);
     CPPUNIT_TEST(status_000_of_a_probed_engine_is_no_report);
+    CPPUNIT_TEST(error_answer_is_no_list_of_hosts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -248,25 +250,43 @@
             CPPUNIT_ASSERT_EQUAL(0, this->service_runs());
             CPPUNIT_ASSERT(store.changed() > 0);
         }
-        {
-            const nlohmann::json leaving = nlohmann::json::array(
-                {{{"host", "host-1"}, {"address", "127.0.0.1"}, {"role", "router"}, {"state", "leaving"}}});
-            const status_relay store{platform, "", always("000"), leaving.dump()};
-            const int before = store.changed();
-            std::this_thread::sleep_for(3s);
-            CPPUNIT_ASSERT(store.changed() > before);
-            CPPUNIT_ASSERT(this->running->wait_ready(1, 1));
-            const raw_response safe = this->send(1, "GET", service_path);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(safe.body, std::string{"200"}, safe.status);
-        }
+        this->check_list_of_leaving_hosts("000");
+    }
+
+    /// Lets the store answer with a list in which a host leaves, and checks that the host goes on.
+    void check_list_of_leaving_hosts(const std::string& status)
+    {
+        const nlohmann::json leaving = nlohmann::json::array(
+            {{{"host", "host-1"}, {"address", "127.0.0.1"}, {"role", "router"}, {"state", "leaving"}}});
+        const status_relay store{this->running->platform_address(), "", always(status), leaving.dump()};
+        std::this_thread::sleep_for(3s);
+        CPPUNIT_ASSERT(store.changed() > 0);
+        CPPUNIT_ASSERT(this->running->wait_ready(1, 1));
+        const raw_response safe = this->send(1, "GET", service_path);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(safe.body, std::string{"200"}, safe.status);
+        std::ifstream log{this->running->folder() + "/broker-1.log"};
+        const std::string lines{std::istreambuf_iterator<char>{log}, {}};
+        CPPUNIT_ASSERT_MESSAGE(lines, lines.find("state=host_list_down") != std::string::npos);
+    }
+
+    // Failure: a host left since a list of hosts was read out of an error answer.
+    void error_answer_is_no_list_of_hosts()
+    {
+        this->start(false);
+        this->running->at("platform").kill();
+        for (const char* status : {"404", "500", "503"})
+            this->check_list_of_leaving_hosts(status);
     }
 
     // Guards against engines that the broker takes for usable, or leaving, on the word of an answer with status 000.
-    void status_000_of_a_probed_engine_is_no_report()
+    void status_000_of_a_probed_engine_is_no_report() { this->check_report("000"); }
+
+    /// Lets an engine report its state with this status, and checks that it gets no work.
+    void check_report(const std::string& status)
     {
         this->start(true);
-        const status_relay& broken = this->relay("decode-1", [](const http::request& request) {
-            return request.path() == "/v1/status" ? relay_change{"000"} : relay_change{};
+        const status_relay& broken = this->relay("decode-1", [status](const http::request& request) {
+            return request.path() == "/v1/status" ? relay_change{status} : relay_change{};
         });
         const auto is_usable = [this] {
             const int owner = std::max(this->running->owner_of_pool(), 1);
