Wait for log lines that a test expects

The log is written by a thread of its own, so that its lines may follow the answer.

What has to be in them is unchanged.

--- a/tests/platform/test_invalid_answers.cpp
+++ b/tests/platform/test_invalid_answers.cpp
@@ -265,10 +265,15 @@
                 [form = form](const engine_call& call) { return closed_after(form.make(call, engine_body)); });
             this->call("/once/1");
             this->call("/stream/1");
-            const std::string log = this->site->log();
-            CPPUNIT_ASSERT_MESSAGE(log, log.find("decision=call_ended") != std::string::npos);
-            CPPUNIT_ASSERT_MESSAGE(log, log.find(logged, log.find("decision=call_ended")) != std::string::npos);
-            CPPUNIT_ASSERT_MESSAGE(log, log.find(logged, log.find("decision=stream_broken")) != std::string::npos);
+            // The log is written by a thread of its own, so that its lines may follow the answer.
+            for (const char* decision : {"decision=call_ended", "decision=stream_broken"}) {
+                const auto is_logged = [&, cause = logged] {
+                    const std::string log = this->site->log();
+                    const std::size_t line = log.find(decision);
+                    return line != std::string::npos && log.find(cause, line) != std::string::npos;
+                };
+                CPPUNIT_ASSERT_MESSAGE(decision + this->site->log(), wait_until(is_logged));
+            }
             const std::string metrics = this->site->metrics();
             const std::string line = "radishstep_http_responses_invalid_total{" + counted + "} 2";
             CPPUNIT_ASSERT_MESSAGE(metrics, metrics.find(line) != std::string::npos);
--- a/tests/platform/test_invalid_control_answers.cpp
+++ b/tests/platform/test_invalid_control_answers.cpp
@@ -135,10 +135,7 @@
         }
         const std::string line = "release_failed_total " + std::to_string(released);
         CPPUNIT_ASSERT(wait_until([&] { return this->site->metrics().find(line) != std::string::npos; }));
-        const std::string log = this->site->log();
-        const std::size_t logged = log.find("decision=release_failed");
-        CPPUNIT_ASSERT(logged != std::string::npos);
-        CPPUNIT_ASSERT(log.find("its status is 000", logged) != std::string::npos);
+        CPPUNIT_ASSERT(wait_until([this] { return this->has_logged("decision=release_failed", "its status is 000"); }));
     }
 
     // Guards against a configuration, entries or the end of a lease that a host took out of an invalid answer of the
