Take no state of an engine out of an error answer

What callers saw: nothing broken; an engine whose /v1/status answered 500 with a body like a report's counted as usable and got requests.

Cause: parse_report asked for a JSON object and not for the status. The entry did the same when it asks the endpoint of a broken stream whether it has restarted. Found while all readers of answers were gone through.

The entry's reader is by reading only.

Fix: both read a 200 only, as docs/ENDPOINTS.md has it. Otherwise the engine counts as one that cannot be reached, and the broken call as one that may have run.

Why the earlier tests missed it: engines that were down gave no answer at all.

--- a/src/broker/cells_duty.cpp
+++ b/src/broker/cells_duty.cpp
@@ -41,6 +41,7 @@
 
 constexpr milliseconds config_fetch_timeout{2'000};
 constexpr milliseconds status_period{200};
+constexpr unsigned status_ok = 200;
 
 /// How long a starting host waits for the configuration versions of its peers, in gossip, before it applies
 /// a document of the key-value service, which may be older.
@@ -69,7 +70,8 @@
 {
     endpoint_report report;
     report.endpoint = endpoint;
-    const auto json = nlohmann::json::parse(response ? response->body : "", nullptr, false);
+    const bool is_report = response && response->status == status_ok;
+    const auto json = nlohmann::json::parse(is_report ? response->body : "", nullptr, false);
     report.reachable = json.is_object();
     if (!report.reachable)
         return report;
--- a/src/entry/model_request.cpp
+++ b/src/entry/model_request.cpp
@@ -343,8 +343,10 @@
         http::request status_request = http::get_request("/v1/status");
         const std::string address = this->shared.find_endpoint_address(endpoint);
         const auto response = co_await this->shared.http_client.call(address, std::move(status_request), options);
-        if (response)
+        if (response && response->status == status_ok)
             co_return failure_from_status(response->body, started);
+        if (response)
+            co_return call_failure::lost;
         if (!may_have_arrived(response.error().kind))
             co_return call_failure::died;
         if (response.error().kind == error_kind::timed_out)
--- a/tests/entry/test_entry_answers.cpp
+++ b/tests/entry/test_entry_answers.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(status_000_of_the_store_grants_no_claim_and_tells_nothing);
     CPPUNIT_TEST(status_000_of_a_probed_engine_is_no_report);
     CPPUNIT_TEST(error_answer_is_no_list_of_hosts);
+    CPPUNIT_TEST(error_answer_of_a_probed_engine_is_no_report);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -281,6 +282,9 @@
     // Guards against engines that the broker takes for usable, or leaving, on the word of an answer with status 000.
     void status_000_of_a_probed_engine_is_no_report() { this->check_report("000"); }
 
+    // Failure: an engine counted as usable on the word of an error answer.
+    void error_answer_of_a_probed_engine_is_no_report() { this->check_report("500"); }
+
     /// Lets an engine report its state with this status, and checks that it gets no work.
     void check_report(const std::string& status)
     {
