--- a/tests/platform/standin_store.cpp
+++ b/tests/platform/standin_store.cpp
@@ -64,6 +64,13 @@
     this->write(key, value, 0);
 }
 
+std::string standin_store::value(const std::string& key) const
+{
+    const std::scoped_lock lock{this->mutex};
+    const auto found = this->items.find(key);
+    return found == this->items.end() ? "" : found->second.value;
+}
+
 void standin_store::remove(const std::string& key)
 {
     const std::scoped_lock lock{this->mutex};
--- a/tests/platform/standin_store.h
+++ b/tests/platform/standin_store.h
@@ -46,6 +46,9 @@
     /// Writes a key, as an operator or an engine does.
     void put(const std::string& key, const std::string& value);
 
+    /// Returns the value of a key, "" if there is none.
+    std::string value(const std::string& key) const;
+
     /// Removes a key.
     void remove(const std::string& key);
 
