--- a/tests/entry/test_entry_answers.cpp
+++ b/tests/entry/test_entry_answers.cpp
@@ -36,7 +36,7 @@
     return response.status + (response.is_complete ? ", whole: " : ", broken off: ") + response.body;
 }
 
-/// Endpoints and a store that answer radishstep-entry and radishstep-broker with a status that is none.
+/// Endpoints and a store that answer radishstep-entry and radishstep-broker with an invalid status.
 class test_entry_answers : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(test_entry_answers);
--- a/tests/entry/test_operator_answers.cpp
+++ b/tests/entry/test_operator_answers.cpp
@@ -21,7 +21,7 @@
 constexpr int exit_failed = 1;
 constexpr const char* invalid_status = "its status is 000";
 
-/// Answers with a status that is none to radishctl, from the store and from the hosts.
+/// Answers with an invalid status to radishctl, from the store and from the hosts.
 class test_operator_answers : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(test_operator_answers);
--- a/tests/platform/caller_outcome.h
+++ b/tests/platform/caller_outcome.h
@@ -14,7 +14,7 @@
 std::string status_000(const engine_call& call);
 
 /// One request of a caller, on a connection of its own.
-struct caller_request_form
+struct raw_request
 {
     std::string path = "/plain/1";
     std::string id = "attempt-1";
@@ -25,21 +25,21 @@
 };
 
 /// Returns the bytes of the request, after which the connection is closed.
-std::string to_bytes(const caller_request_form& form);
+std::string to_bytes(const raw_request& request);
 
 /// Sends the request to a host's gateway and returns all bytes that its caller receives.
-std::string send_raw(platform_site& site, const caller_request_form& form, std::size_t host = 0);
+std::string send_raw(platform_site& site, const raw_request& request, std::size_t host = 0);
 
 /// Returns how many calls with this id engines have run.
 int runs_of(const platform_site& site, const std::string& id);
 
-/// Returns what a caller would be deceived by in the bytes that it received for one request, or "". It may get one
+/// Returns what is wrong with the bytes that a caller received for one request, or "". It may get one
 /// whole sound answer, the first events of its stream without an end, or a refusal by the router that does not say "not
 /// run" if an engine has run the request. `may_break`: the connection may also end without a response.
-std::string find_deceit(const platform_site& site, const std::string& received, const caller_request_form& form,
-                        bool may_break = false);
+std::string find_invalid_outcome(const platform_site& site, const std::string& received, const raw_request& request,
+                                 bool may_break = false);
 
 /// Returns whether the bytes are one whole sound answer of an engine.
-bool is_sound_answer(const std::string& received, const caller_request_form& form);
+bool is_sound_answer(const std::string& received, const raw_request& request);
 
 } // namespace radishstep::testing
--- a/tests/platform/test_status_of_hosts.cpp
+++ b/tests/platform/test_status_of_hosts.cpp
@@ -64,22 +64,22 @@
 
     void tearDown() override { this->site.reset(); }
 
-    caller_request_form next_request(const std::string& path)
+    raw_request next_request(const std::string& path)
     {
-        caller_request_form form;
-        form.path = path;
-        form.id = "attempt-" + std::to_string(++this->sent);
-        return form;
+        raw_request request;
+        request.path = path;
+        request.id = "attempt-" + std::to_string(++this->sent);
+        return request;
     }
 
-    std::future<std::string> begin(const caller_request_form& form, std::size_t host = 0)
+    std::future<std::string> begin(const raw_request& request, std::size_t host = 0)
     {
-        return std::async(std::launch::async, [this, form, host] { return send_raw(*this->site, form, host); });
+        return std::async(std::launch::async, [this, request, host] { return send_raw(*this->site, request, host); });
     }
 
     struct running_request
     {
-        caller_request_form form;
+        raw_request request;
         std::future<std::string> received;
     };
 
@@ -88,21 +88,21 @@
     {
         std::vector<running_request> running;
         for (const char* path : {"/plain/1", "/once/1", "/stream/1", "/resume/1"}) {
-            const caller_request_form form = this->next_request(path);
-            running.push_back({form, this->begin(form, host)});
+            const raw_request request = this->next_request(path);
+            running.push_back({request, this->begin(request, host)});
         }
         CPPUNIT_ASSERT(wait_until([&] {
             return std::ranges::all_of(running,
-                                       [this](const auto& sent) { return runs_of(*this->site, sent.form.id) > 0; });
+                                       [this](const auto& sent) { return runs_of(*this->site, sent.request.id) > 0; });
         }));
         return running;
     }
 
-    std::string find_deceits(std::vector<running_request>& running, bool may_break = false)
+    std::string find_invalid_outcomes(std::vector<running_request>& running, bool may_break = false)
     {
         std::string faults;
-        for (running_request& request : running)
-            faults += find_deceit(*this->site, request.received.get(), request.form, may_break);
+        for (auto& [request, received] : running)
+            faults += find_invalid_outcome(*this->site, received.get(), request, may_break);
         return faults;
     }
 
@@ -110,9 +110,9 @@
     std::string send_again(const std::vector<running_request>& earlier)
     {
         std::string faults;
-        for (const running_request& request : earlier) {
+        for (const auto& [request, received] : earlier) {
             for (std::size_t host = 0; host < hosts; ++host)
-                faults += find_deceit(*this->site, send_raw(*this->site, request.form, host), request.form);
+                faults += find_invalid_outcome(*this->site, send_raw(*this->site, request, host), request);
         }
         return faults;
     }
@@ -125,7 +125,7 @@
         this->site->set_script(late_status_000);
         auto running = this->begin_all_kinds();
         this->site->gateway()->signal(SIGTERM);
-        const std::string faults = this->find_deceits(running);
+        const std::string faults = this->find_invalid_outcomes(running);
         CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
         constexpr int most_seconds = 20;
         CPPUNIT_ASSERT_EQUAL(0, this->site->gateway()->wait(most_seconds));
@@ -142,7 +142,7 @@
             this->site->gateway()->signal(SIGSTOP);
             std::this_thread::sleep_for(frozen);
             this->site->gateway()->signal(SIGCONT);
-            const std::string faults = this->find_deceits(running);
+            const std::string faults = this->find_invalid_outcomes(running);
             CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
         }
     }
@@ -156,7 +156,7 @@
         auto running = this->begin_all_kinds();
         this->site->gateway()->kill();
         this->site->start_gateway();
-        std::string faults = this->find_deceits(running, true);
+        std::string faults = this->find_invalid_outcomes(running, true);
         CPPUNIT_ASSERT(this->site->wait_until_ready());
         faults += this->send_again(running);
         CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
@@ -172,10 +172,10 @@
             auto running = this->begin_all_kinds();
             this->site->store->set_fault(fault);
             this->site->store->end_leases();
-            std::string faults = this->find_deceits(running);
+            std::string faults = this->find_invalid_outcomes(running);
             auto without_store = this->begin_all_kinds(1);
             this->site->store->set_fault(store_fault::none);
-            faults += this->find_deceits(without_store);
+            faults += this->find_invalid_outcomes(without_store);
             CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
         }
     }
@@ -188,7 +188,7 @@
         std::string faults;
         for (int round = 0; round < 3; ++round) {
             this->site->set_script(late_status_000);
-            std::vector<caller_request_form> left;
+            std::vector<raw_request> left;
             for (const char* path : {"/plain/1", "/once/1", "/stream/1", "/resume/1"}) {
                 left.push_back(this->next_request(path));
                 const std::string received = exchange_bytes(this->site->callers_address(), to_bytes(left.back()), 50ms);
@@ -196,10 +196,10 @@
             }
             this->site->set_script(nullptr);
             for (std::size_t host = 0; host < hosts; ++host) {
-                for (const caller_request_form& form : left) {
-                    const std::string received = send_raw(*this->site, form, host);
-                    if (!is_sound_answer(received, form))
-                        faults += form.path + " '" + received + "'; ";
+                for (const raw_request& request : left) {
+                    const std::string received = send_raw(*this->site, request, host);
+                    if (!is_sound_answer(received, request))
+                        faults += request.path + " '" + received + "'; ";
                 }
             }
         }
@@ -243,11 +243,11 @@
         for (const char* path : {"/once/1", "/plain/1", "/resume/1", "/stream/1"}) {
             std::vector<running_request> running;
             for (int i = 0; i < at_once; ++i) {
-                caller_request_form form = this->next_request(path);
-                form.extra_headers = {{"Api-Key", i % 2 == 0 ? "key-of-one" : "key-of-two"}};
-                running.push_back({form, this->begin(form)});
+                raw_request request = this->next_request(path);
+                request.extra_headers = {{"Api-Key", i % 2 == 0 ? "key-of-one" : "key-of-two"}};
+                running.push_back({request, this->begin(request)});
             }
-            faults += this->find_deceits(running);
+            faults += this->find_invalid_outcomes(running);
         }
         CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
         CPPUNIT_ASSERT(this->site->total_runs() > at_once);
@@ -262,16 +262,16 @@
         std::string faults;
         for (const char* method : {"GET", "HEAD", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE", "REPORT", "PURGE"}) {
             for (const char* path : {"/once/1", "/plain/1", "/plain/readyz", "/resume/1"}) {
-                caller_request_form form = this->next_request(path);
-                form.method = method;
+                raw_request request = this->next_request(path);
+                request.method = method;
                 // RFC 9110, section 9.3.8: it has no body.
-                if (form.method == "TRACE")
-                    form.body.clear();
+                if (request.method == "TRACE")
+                    request.body.clear();
                 const int runs_before = this->site->total_runs();
-                const std::string received = send_raw(*this->site, form);
+                const std::string received = send_raw(*this->site, request);
                 if (!received.starts_with("HTTP/1.1 502 ") || received.find(invalid_body) != std::string::npos)
                     faults += std::string{method} + " " + path + " '" + received + "'; ";
-                CPPUNIT_ASSERT_MESSAGE(form.method + received, this->site->total_runs() > runs_before);
+                CPPUNIT_ASSERT_MESSAGE(request.method + received, this->site->total_runs() > runs_before);
             }
             CPPUNIT_ASSERT(this->site->is_ready());
         }
@@ -293,10 +293,10 @@
         constexpr std::size_t in_a_row = 8;
         for (int round = 0; round < rounds; ++round) {
             std::string bytes;
-            std::vector<caller_request_form> forms;
+            std::vector<raw_request> requests;
             for (std::size_t i = 0; i < in_a_row; ++i) {
-                forms.push_back(this->next_request(i % 4 < 2 ? "/plain/1" : "/once/1"));
-                std::string request = to_bytes(forms.back());
+                requests.push_back(this->next_request(i % 4 < 2 ? "/plain/1" : "/once/1"));
+                std::string request = to_bytes(requests.back());
                 const std::string close = "Connection: close\r\n";
                 if (i + 1 < in_a_row)
                     request.erase(request.find(close), close.size());
@@ -306,10 +306,10 @@
             const auto responses = parse_responses(received);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(received, in_a_row, responses.size());
             for (std::size_t i = 0; i < in_a_row; ++i) {
-                const bool is_broken = std::stoi(forms[i].id.substr(sizeof("attempt-") - 1)) % 2 == 0;
+                const bool is_broken = std::stoi(requests[i].id.substr(sizeof("attempt-") - 1)) % 2 == 0;
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(received, std::string{is_broken ? "502" : "200"}, responses[i].status);
                 CPPUNIT_ASSERT_MESSAGE(received, responses[i].is_complete);
-                CPPUNIT_ASSERT_MESSAGE(received, is_broken || responses[i].body == "whole answer of " + forms[i].id);
+                CPPUNIT_ASSERT_MESSAGE(received, is_broken || responses[i].body == "whole answer of " + requests[i].id);
             }
         }
     }
@@ -334,11 +334,11 @@
             });
             std::vector<running_request> running;
             for (int i = 0; i < at_once; ++i) {
-                caller_request_form form = this->next_request(i % 2 == 0 ? "/once/1" : "/plain/1");
-                form.body = std::string(upload_bytes, 'u');
-                running.push_back({form, this->begin(form)});
+                raw_request request = this->next_request(i % 2 == 0 ? "/once/1" : "/plain/1");
+                request.body = std::string(upload_bytes, 'u');
+                running.push_back({request, this->begin(request)});
             }
-            const std::string faults = this->find_deceits(running, true);
+            const std::string faults = this->find_invalid_outcomes(running, true);
             CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
             CPPUNIT_ASSERT(this->site->gateway()->is_running());
             CPPUNIT_ASSERT(this->site->total_runs() > 0);
--- a/tests/platform/test_status_of_streams.cpp
+++ b/tests/platform/test_status_of_streams.cpp
@@ -166,12 +166,12 @@
         this->answers->clear();
     }
 
-    caller_request_form next_request(const std::string& path)
+    raw_request next_request(const std::string& path)
     {
-        caller_request_form form;
-        form.path = path;
-        form.id = "attempt-" + std::to_string(++this->sent);
-        return form;
+        raw_request request;
+        request.path = path;
+        request.id = "attempt-" + std::to_string(++this->sent);
+        return request;
     }
 
     /// Lets the engine that gets a request first answer it in one way, and all others in another.
@@ -195,13 +195,13 @@
         struct sent_request
         {
             std::string name;
-            caller_request_form form;
+            raw_request request;
         };
         std::vector<sent_request> requests;
         for (const behaviour& first : silent_engines()) {
             for (const behaviour& second : seconds) {
                 requests.push_back({first.name + "; then " + second.name, this->next_request("/resume/1")});
-                this->set_answers(requests.back().form.id, first, second);
+                this->set_answers(requests.back().request.id, first, second);
             }
         }
         this->use_answers();
@@ -212,14 +212,14 @@
             std::vector<std::future<std::string>> running;
             const std::size_t end = std::min(start + at_a_time, requests.size());
             for (std::size_t i = start; i < end; ++i)
-                running.push_back(std::async(std::launch::async,
-                                             [this, &requests, i] { return send_raw(*this->site, requests[i].form); }));
+                running.push_back(std::async(
+                    std::launch::async, [this, &requests, i] { return send_raw(*this->site, requests[i].request); }));
             for (std::size_t i = start; i < end; ++i) {
                 const std::string received = running[i - start].get();
-                std::string fault = find_deceit(*this->site, received, requests[i].form);
-                if (must_be_whole && !is_sound_answer(received, requests[i].form))
+                std::string fault = find_invalid_outcome(*this->site, received, requests[i].request);
+                if (must_be_whole && !is_sound_answer(received, requests[i].request))
                     fault += "not whole: '" + received + "'";
-                if (runs_of(*this->site, requests[i].form.id) != 2)
+                if (runs_of(*this->site, requests[i].request.id) != 2)
                     fault += "the second engine was not asked";
                 if (!fault.empty())
                     faults += "\n" + requests[i].name + ": " + fault;
@@ -274,12 +274,12 @@
             this->site->engine("d0").set_script(one.first_decode);
             this->site->engine("d1").set_script(one.second_decode);
             for (const char* path : {"/resume/1", "/stream/1", "/resume/2", "/stream/2"}) {
-                const caller_request_form form = this->next_request(path);
-                const std::string fault = find_deceit(*this->site, send_raw(*this->site, form), form);
+                const raw_request request = this->next_request(path);
+                const std::string fault = find_invalid_outcome(*this->site, send_raw(*this->site, request), request);
                 if (!fault.empty())
                     faults += "\n" + one.name + ", " + path + ": " + fault;
                 const int most_runs = std::string{path}.starts_with("/stream/") ? 1 : 2;
-                CPPUNIT_ASSERT_MESSAGE(one.name + path, runs_of(*this->site, form.id) <= most_runs);
+                CPPUNIT_ASSERT_MESSAGE(one.name + path, runs_of(*this->site, request.id) <= most_runs);
             }
         }
         for (const char* id : {"d0", "d1"}) {
@@ -299,14 +299,14 @@
         std::string faults;
         this->use_answers();
         const auto check = [this, &faults](int events_before, const behaviour& second, bool must_be_whole) {
-            const caller_request_form form = this->next_request("/resume/1");
+            const raw_request request = this->next_request("/resume/1");
             const behaviour first{"cut", [events_before](const engine_call& call) -> scripted_answer {
                                       return {{unframed_start(call, events_before)}, answer_end::reset};
                                   }};
-            this->set_answers(form.id, first, second);
-            const std::string received = send_raw(*this->site, form);
-            std::string fault = find_deceit(*this->site, received, form);
-            if (is_sound_answer(received, form) != must_be_whole)
+            this->set_answers(request.id, first, second);
+            const std::string received = send_raw(*this->site, request);
+            std::string fault = find_invalid_outcome(*this->site, received, request);
+            if (is_sound_answer(received, request) != must_be_whole)
                 fault += "whole or not: '" + received + "'";
             if (!fault.empty())
                 faults += "\n" + std::to_string(events_before) + " events, then " + second.name + ": " + fault;
@@ -325,17 +325,17 @@
         this->start(0, 2, 2);
         std::string faults;
         for (const std::size_t host : {0UL, 1UL, 0UL, 1UL}) {
-            caller_request_form form = this->next_request("/resume/1");
+            raw_request request = this->next_request("/resume/1");
             this->site->set_script([](const engine_call& call) -> scripted_answer {
                 return {{unframed_start(call, 3)}, answer_end::reset};
             });
-            faults += find_deceit(*this->site, send_raw(*this->site, form, host), form);
+            faults += find_invalid_outcome(*this->site, send_raw(*this->site, request, host), request);
             this->site->set_script([](const engine_call& call) -> scripted_answer { return {{status_000(call)}}; });
-            form.last_event_id = "3";
-            faults += find_deceit(*this->site, send_raw(*this->site, form, 1 - host), form);
+            request.last_event_id = "3";
+            faults += find_invalid_outcome(*this->site, send_raw(*this->site, request, 1 - host), request);
             this->site->set_script(nullptr);
-            const std::string last = send_raw(*this->site, form, host);
-            if (!is_sound_answer(last, form))
+            const std::string last = send_raw(*this->site, request, host);
+            if (!is_sound_answer(last, request))
                 faults += "not whole: '" + last + "'; ";
         }
         CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
